Serve a request from a caller through a chain of engines

The whole path stands thin, as separate processes: callers' port, core without input or output, chains of engines, plain services, configuration by the operators' folder, graceful shutdown, and the stand-ins of platform, engines and services.

Cause of a change made on the way: the daemon cancelled its ports as soon as the core had stopped, which cut off answers whose last bytes had not left (RemoteProtocolError in the demo's planned stop). The ports now end first, after the last output was taken. Ruled out: the engines, whose journals were whole.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Small measurements, each printing a table."""
--- /dev/null
+++ b/src/tarragonrudder/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the router, without input or output."""
--- /dev/null
+++ b/src/tarragonrudder/core/chain.py
@@ -0,0 +1,93 @@
+"""Chains of stages that one answer passes through, and their check."""
+
+import typing as t
+from dataclasses import dataclass
+
+from tarragonrudder.core.fleet import Engine, LayerRange, Model
+from tarragonrudder.errors import ChainError
+
+
+@dataclass(frozen=True, slots=True)
+class FreshCache:
+    """The stage starts with the prompt."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeptCache:
+    """The stage still holds the KV cache of an earlier attempt."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class ImportedCache:
+    """The stage imports the KV cache that another upstream exports."""
+
+    attempt: int
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayedCache:
+    """The stage rebuilds its KV cache from the prompt and emitted tokens."""
+
+
+CacheSource: t.TypeAlias = FreshCache | KeptCache | ImportedCache | ReplayedCache
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """One stage of a chain: an upstream and the layers it runs."""
+
+    upstream: str
+    address: str
+    layers: LayerRange
+    cache: CacheSource = FreshCache()
+
+
+@dataclass(frozen=True, slots=True)
+class Chain:
+    """The ordered stages of one attempt; the first is its head."""
+
+    model: str
+    version: str
+    hops: tuple[Hop, ...]
+
+    @property
+    def upstreams(self) -> tuple[str, ...]:
+        """Names of the upstreams, in order."""
+        return tuple(hop.upstream for hop in self.hops)
+
+    def describe(self) -> str:
+        """Return a short text for logs, such as ``a[0-3] b[4-7]``."""
+        parts = []
+        for hop in self.hops:
+            parts.append(f"{hop.upstream}[{hop.layers.first}-{hop.layers.last}]")
+        return " ".join(parts)
+
+
+def check_chain(chain: Chain, model: Model, engines: t.Mapping[str, Engine]) -> None:
+    """Check that a chain runs every layer exactly once, in order.
+
+    Raises
+    ------
+    ChainError
+        If layers are left out, repeated or out of order, if a stage does not
+        hold its layers, or if model versions are mixed.
+    """
+    if (chain.model, chain.version) != (model.name, model.version):
+        raise ChainError(f"the chain is for {chain.model}, choose one for {model.name}")
+    expected = 0
+    for hop in chain.hops:
+        engine = engines.get(hop.upstream)
+        if engine is None:
+            raise ChainError(f"{hop.upstream} is not configured; choose another")
+        if (engine.model, engine.version) != (model.name, model.version):
+            raise ChainError(f"{hop.upstream} holds another model; choose another")
+        if not engine.layers.contains(hop.layers):
+            raise ChainError(f"{hop.upstream} does not hold its layers; choose another")
+        if hop.layers.first != expected or len(hop.layers) < 1:
+            raise ChainError(f"layer {expected} must come next; choose another chain")
+        expected = hop.layers.last + 1
+    if expected != model.layer_count:
+        raise ChainError(f"layer {expected} is not covered; add a stage that holds it")
--- /dev/null
+++ b/src/tarragonrudder/core/message.py
@@ -0,0 +1,38 @@
+"""Messages between nodes; the peer edge encodes them as JSON.
+
+A new message is a frozen data class of JSON values, added to ``MESSAGES``.
+"""
+
+import typing as t
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """An upstream said that it is shutting down."""
+
+    upstream: str
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class FingerprintBlocked:
+    """A request crashed upstreams and is refused on all nodes for a period."""
+
+    fingerprint: str
+    remaining: float
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationAnnounced:
+    """The configuration generation that a node has in force."""
+
+    generation: int
+
+
+MESSAGES: tuple[type, ...] = (
+    UpstreamLeaving,
+    FingerprintBlocked,
+    GenerationAnnounced,
+)
+Message: t.TypeAlias = UpstreamLeaving | FingerprintBlocked | GenerationAnnounced
--- /dev/null
+++ b/src/tarragonrudder/core/node.py
@@ -0,0 +1,295 @@
+"""One router process as a plain object: events in, actions out."""
+
+import random
+import typing as t
+from dataclasses import dataclass
+
+from tarragonrudder.core.action import (
+    Action,
+    FailAnswer,
+    LogDecision,
+    SetTimer,
+    StopNode,
+)
+from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket
+from tarragonrudder.core.adoption import Adoption
+from tarragonrudder.core.answer import Answers
+from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.call import Calls
+from tarragonrudder.core.event import (
+    AttemptEnded,
+    AttemptFailed,
+    CacheChanged,
+    CallerGone,
+    ChatRequested,
+    ConfigurationRead,
+    Event,
+    LoadReported,
+    NodesListed,
+    PeerReached,
+    ServiceAnswered,
+    ServiceFailed,
+    ServiceRequested,
+    StopRequested,
+    TimerFired,
+    TokensArrived,
+    VmsListed,
+)
+from tarragonrudder.core.fleet import ClientAccount, Configuration
+from tarragonrudder.core.limit import Limits
+from tarragonrudder.core.membership import Membership
+from tarragonrudder.core.message import FingerprintBlocked, UpstreamLeaving
+from tarragonrudder.core.quarantine import Quarantine
+from tarragonrudder.core.selection import Selector
+from tarragonrudder.errors import (
+    DeadlineExceeded,
+    NotFound,
+    Quarantined,
+    RateLimited,
+    Stopping,
+)
+
+TICK_PERIOD = 1.0  # seconds between periodic work
+STOPPING_RETRY_AFTER = 1.0  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class NodeOptions:
+    """What a node learns from its settings.
+
+    Attributes
+    ----------
+    balancer_lag : float
+        Seconds for which the balancer may still send work after ``/readyz``
+        turned false.
+    """
+
+    name: str
+    data_center: str
+    balancer_lag: float = 2.0
+
+
+class Node:
+    """The decisions of one node; the driver translates its actions."""
+
+    def __init__(self, options: NodeOptions, source: random.Random) -> None:
+        self._options = options
+        self._stop_at: float | None = None
+        self._chats: dict[str, ChatRequested] = {}
+        self._accounts: dict[str, ClientAccount] = {}
+        self.adoption = Adoption()
+        self.membership = Membership(options.name)
+        self.selector = Selector(options.data_center, source)
+        self.limits = Limits(options.name)
+        self.admission = Admission()
+        self.quarantine = Quarantine()
+        self.budget = RetryBudget()
+        self.answers = Answers(
+            self.membership, self.selector, self.quarantine, self.budget
+        )
+        self.calls = Calls(self.membership)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self.adoption.configuration
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send work."""
+        return self._stop_at is None and self.configuration.generation > 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have not ended."""
+        return len(self._chats) + len(self.calls)
+
+    def start(self, now: float) -> list[Action]:
+        """Begin periodic work."""
+        return [SetTimer("tick", now + TICK_PERIOD)]
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Decide what to do about an event.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Seconds on a clock that never goes back.
+
+        Returns
+        -------
+        list of Action
+            To be carried out in order.
+        """
+        actions = self._dispatch(event, now)
+        actions.extend(self._settle(now))
+        return actions
+
+    def _dispatch(self, event: Event, now: float) -> list[Action]:
+        match event:
+            case TokensArrived():
+                return self.answers.merge_tokens(event, now)
+            case AttemptEnded():
+                return self.answers.merge_end(event, now)
+            case AttemptFailed():
+                return self.answers.merge_failure(event, now)
+            case ChatRequested():
+                return self._accept_chat(event, now)
+            case ServiceRequested():
+                return self._accept_service(event, now)
+            case ServiceAnswered():
+                return self.calls.merge_answer(event, now)
+            case ServiceFailed():
+                return self.calls.merge_failure(event, now)
+            case CallerGone():
+                return self._drop(event.request, now)
+            case LoadReported():
+                self.selector.merge_load(event, now)
+            case CacheChanged():
+                self.selector.merge_cache(event, now)
+            case VmsListed():
+                self.membership.merge_vms(event)
+            case NodesListed():
+                self.membership.set_nodes(event.nodes)
+                self.limits.set_nodes(event.nodes)
+            case ConfigurationRead():
+                return self._adopt(event.configuration)
+            case PeerReached():
+                return self._hear(event, now)
+            case TimerFired():
+                return self._fire(event.timer, now)
+            case StopRequested():
+                return self._stop(now)
+        return []
+
+    def _accept_chat(self, chat: ChatRequested, now: float) -> list[Action]:
+        account = self._accounts.get(chat.account)
+        model = None
+        for route in self.configuration.model_routes:
+            if route.name == chat.route:
+                model = self.configuration.find_model(route.model, route.version)
+        if account is None or model is None:
+            problem = NotFound(f"there is no model {chat.route!r}; ask /v1/models")
+            return [FailAnswer(chat.request, problem)]
+        actions = self._check_gates(chat.request, account, now)
+        if actions:
+            return actions
+        blocked = self.quarantine.check(chat.fingerprint, now)
+        if blocked > 0:
+            refused = Quarantined(
+                "this request crashed upstreams; change it or wait", retry_after=blocked
+            )
+            return [FailAnswer(chat.request, refused)]
+        priority = self.configuration.find_priority(account.priority)
+        ticket = Ticket(
+            chat.request,
+            account,
+            priority,
+            model,
+            chat.max_tokens,
+            now,
+            now + priority.deadline,
+        )
+        verdict = self.admission.offer(ticket, now)
+        match verdict:
+            case Rejected():
+                return [FailAnswer(chat.request, verdict.problem)]
+            case Admitted():
+                self._chats[chat.request] = chat
+                return self.answers.begin(chat, ticket, now)
+        self._chats[chat.request] = chat
+        return []
+
+    def _accept_service(self, event: ServiceRequested, now: float) -> list[Action]:
+        account = self._accounts.get(event.account)
+        if account is None:
+            return [FailAnswer(event.request, NotFound("the account is gone"))]
+        actions = self._check_gates(event.request, account, now)
+        if actions:
+            return actions
+        return self.calls.begin(event, now)
+
+    def _check_gates(
+        self, request: str, account: ClientAccount, now: float
+    ) -> list[Action]:
+        if self._stop_at is not None and now >= self._stop_at:
+            problem = Stopping(
+                "this node is shutting down; send it again",
+                retry_after=STOPPING_RETRY_AFTER,
+            )
+            return [FailAnswer(request, problem)]
+        wait = self.limits.take(account, now)
+        if wait > 0:
+            limited = RateLimited(
+                "the account is over its limit; slow down", retry_after=wait
+            )
+            return [FailAnswer(request, limited)]
+        return []
+
+    def _drop(self, request: str, now: float) -> list[Action]:
+        actions = self.answers.cancel(request, now)
+        actions.extend(self.calls.cancel(request, now))
+        if self._chats.pop(request, None) is not None:
+            self.admission.release(request, 0, now)
+        return actions
+
+    def _adopt(self, configuration: Configuration) -> list[Action]:
+        actions = self.adoption.offer(configuration)
+        if not actions:
+            return actions
+        self._accounts = {account.name: account for account in configuration.accounts}
+        self.selector.configure(configuration)
+        self.admission.configure(configuration)
+        self.answers.configure(configuration.engines)
+        self.calls.configure(configuration)
+        return actions
+
+    def _hear(self, event: PeerReached, now: float) -> list[Action]:
+        match event.message:
+            case UpstreamLeaving(upstream=upstream):
+                return self.membership.mark_leaving(upstream, now, announce=False)
+            case FingerprintBlocked() as message:
+                self.quarantine.merge(message, now)
+                return []
+        return self.limits.handle_peer(event.node, event.message, now)
+
+    def _fire(self, timer: str, now: float) -> list[Action]:
+        if timer.startswith("answer-"):
+            return self.answers.fire(timer, now)
+        if timer == "tick":
+            actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
+            actions.extend(self.limits.tick(now))
+            return actions
+        return []
+
+    def _stop(self, now: float) -> list[Action]:
+        if self._stop_at is None:
+            self._stop_at = now + self._options.balancer_lag
+        return [
+            LogDecision("stop_requested", {"in_flight": self.in_flight}),
+            SetTimer("stop", self._stop_at),
+        ]
+
+    def _settle(self, now: float) -> list[Action]:
+        """End what has ended and start what may start now."""
+        actions: list[Action] = []
+        for request, tokens in self.answers.take_ended():
+            self._chats.pop(request, None)
+            self.admission.release(request, tokens, now)
+        for ticket in self.admission.take_expired(now):
+            problem = DeadlineExceeded("it waited too long; send it again")
+            actions.append(FailAnswer(ticket.request, problem))
+            self._chats.pop(ticket.request, None)
+        for ticket in self.admission.take_ready(now):
+            chat = self._chats[ticket.request]
+            actions.extend(self.answers.begin(chat, ticket, now))
+        if self._stop_at is not None and now >= self._stop_at and self.in_flight == 0:
+            actions.append(StopNode())
+        return actions
+
+
+def describe_actions(actions: t.Sequence[Action]) -> list[str]:
+    """Return the names of the actions' types, for tests and traces."""
+    return [type(action).__name__ for action in actions]
--- /dev/null
+++ b/src/tarragonrudder/daemon.py
@@ -0,0 +1,110 @@
+"""The router's daemon, ``tarragonrudderd``."""
+
+import pathlib
+import random
+import signal
+import sys
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from tarragonrudder.core.event import StopRequested
+from tarragonrudder.core.node import Node, NodeOptions
+from tarragonrudder.edges.caller import make_caller_app
+from tarragonrudder.edges.clock import Clock
+from tarragonrudder.edges.driver import Driver
+from tarragonrudder.edges.log import open_log
+from tarragonrudder.edges.metrics import Metrics
+from tarragonrudder.edges.peer import make_peer_app
+from tarragonrudder.edges.platform import PlatformClient
+from tarragonrudder.edges.settings import Settings, read_settings
+from tarragonrudder.edges.sync import PlatformSync
+from tarragonrudder.errors import RouterError
+
+GRACEFUL_TIMEOUT = 5.0  # seconds for connections to close after the last answer
+
+
+class Daemon:
+    """One node with its ports, clients and timers."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        node = settings.node
+        self._logger = open_log(node.name, node.log_level)
+        self._metrics = Metrics(settings.statsd.host, settings.statsd.port)
+        self._secret = node.peer_secret_file.read_bytes().strip()
+        self._platform = PlatformClient(
+            settings.platform.address, settings.platform.timeout
+        )
+        options = NodeOptions(node.name, node.data_center, node.balancer_lag)
+        core = Node(options, random.Random())
+        self._driver = Driver(
+            core,
+            Clock(),
+            self._platform,
+            self._logger,
+            self._metrics,
+            self._secret,
+            node.name,
+        )
+        self._sync = PlatformSync(settings, self._platform, self._driver, self._logger)
+
+    async def run(self) -> None:
+        """Serve until a graceful shutdown has ended."""
+        async with trio.open_nursery() as nursery:
+            self._driver.start(nursery)
+            nursery.start_soon(self._sync.run)
+            nursery.start_soon(self._watch_signals)
+            await self._serve_ports()
+            nursery.cancel_scope.cancel()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all clients."""
+        await self._driver.close()
+        await self._sync.close()
+        await self._platform.close()
+        self._metrics.close()
+        self._logger.info("node_stopped")
+
+    async def _serve_ports(self) -> None:
+        """Serve both ports until the last answer has left."""
+        caller_app = make_caller_app(self._driver)
+        peer_app = make_peer_app(self._secret, self._metrics, self._driver.post)
+        node = self._settings.node
+        async with trio.open_nursery() as ports:
+            ports.start_soon(self._serve, caller_app, node.caller_bind)
+            ports.start_soon(self._serve, peer_app, node.peer_bind)
+
+    async def _serve(self, app: QuartTrio, bind: str) -> None:
+        config = Config()
+        config.bind = [bind]
+        config.graceful_timeout = GRACEFUL_TIMEOUT
+        config.accesslog = None
+        config.errorlog = self._logger
+        await serve(app, config, shutdown_trigger=self._driver.wait_stopped)
+
+    async def _watch_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                self._driver.post(StopRequested())
+
+
+def main() -> None:
+    """Run a node: ``tarragonrudderd SETTINGS``."""
+    if len(sys.argv) != 2:
+        print("usage: tarragonrudderd SETTINGS", file=sys.stderr)
+        raise SystemExit(2)
+    try:
+        settings = read_settings(pathlib.Path(sys.argv[1]))
+        daemon = Daemon(settings)
+    except (RouterError, OSError) as error:
+        print(f"tarragonrudderd: {error}", file=sys.stderr)
+        raise SystemExit(2) from error
+    trio.run(daemon.run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/tarragonrudder/edges/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files and timers round the core."""
--- /dev/null
+++ b/src/tarragonrudder/edges/driver.py
@@ -0,0 +1,243 @@
+"""Translates between the core and the edges, and decides nothing."""
+
+import logging
+import math
+import typing as t
+
+import trio
+
+from tarragonrudder.core import action as actions
+from tarragonrudder.core.event import (
+    Event,
+    LeaseGranted,
+    NodesListed,
+    PlatformFailed,
+    PlatformValue,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
+    TimerFired,
+    UpstreamProbed,
+)
+from tarragonrudder.core.node import Node
+from tarragonrudder.edges.clock import Clock
+from tarragonrudder.edges.engine import EngineClient
+from tarragonrudder.edges.metrics import Metrics
+from tarragonrudder.edges.peer import PeerClient
+from tarragonrudder.edges.platform import (
+    PlatformAnswerLost,
+    PlatformClient,
+    PlatformError,
+)
+from tarragonrudder.edges.service import ServiceClient, ServiceInput
+
+Output: t.TypeAlias = (
+    actions.EmitTokens | actions.EndAnswer | actions.FailAnswer | actions.AnswerService
+)
+
+
+OUTPUT_POLL_PERIOD = 0.05  # seconds
+
+
+class Driver:
+    """Carries out the core's actions and feeds it events."""
+
+    def __init__(
+        self,
+        node: Node,
+        clock: Clock,
+        platform: PlatformClient,
+        logger: logging.Logger,
+        metrics: Metrics,
+        peer_secret: bytes,
+        name: str,
+    ) -> None:
+        self.node = node
+        self.stopped = trio.Event()
+        self._clock = clock
+        self._platform = platform
+        self._logger = logger
+        self._metrics = metrics
+        self._engines = EngineClient(self.post)
+        self._services = ServiceClient(self.post)
+        self._peers = PeerClient(name, peer_secret, metrics, self.post)
+        self._outputs: dict[str, trio.MemorySendChannel[Output]] = {}
+        self._inputs: dict[str, ServiceInput] = {}
+        self._attempts: dict[tuple[str, int], trio.CancelScope] = {}
+        self._timers: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin to carry out actions in a nursery."""
+        self._nursery = nursery
+        self._carry_out(self.node.start(self._clock.now()))
+
+    async def close(self) -> None:
+        """Close all clients."""
+        await self._engines.close()
+        await self._services.close()
+        await self._peers.close()
+
+    async def wait_stopped(self) -> None:
+        """Wait until the core has stopped and the last output was taken."""
+        await self.stopped.wait()
+        while self._outputs:
+            await trio.sleep(OUTPUT_POLL_PERIOD)
+
+    def post(self, event: Event) -> None:
+        """Give the core an event and carry out what it decides."""
+        if isinstance(event, NodesListed):
+            self._peers.set_nodes(event.nodes)
+        self._carry_out(self.node.handle(event, self._clock.now()))
+
+    def open_request(
+        self, request: str, given: ServiceInput | None = None
+    ) -> trio.MemoryReceiveChannel[Output]:
+        """Return the channel on which a request's output comes."""
+        sender, receiver = trio.open_memory_channel[Output](math.inf)
+        self._outputs[request] = sender
+        if given is not None:
+            self._inputs[request] = given
+        return receiver
+
+    def close_request(self, request: str) -> None:
+        """Forget a request's channel and input."""
+        self._outputs.pop(request, None)
+        self._inputs.pop(request, None)
+
+    def _carry_out(self, decided: list[actions.Action]) -> None:
+        for action in decided:
+            self._carry_out_one(action)
+
+    def _carry_out_one(self, action: actions.Action) -> None:
+        match action:
+            case actions.EmitTokens() | actions.EndAnswer():
+                self._output(action.request, action)
+            case actions.FailAnswer() | actions.AnswerService():
+                self._output(action.request, action)
+            case actions.SetTimer():
+                self._set_timer(action)
+            case actions.ClearTimer():
+                self._clear_timer(action.timer)
+            case actions.StartAttempt():
+                self._spawn(self._follow, action)
+            case actions.CancelAttempt():
+                self._cancel_attempt(action)
+            case actions.CallService():
+                given = self._inputs.get(action.request)
+                if given is not None:
+                    self._spawn(self._services.call, action, given)
+            case actions.ProbeUpstream():
+                self._spawn(self._probe, action)
+            case actions.ReadPlatform():
+                self._spawn(self._read, action)
+            case actions.SwapPlatform():
+                self._spawn(self._swap, action)
+            case actions.GrantLease():
+                self._spawn(self._grant, action)
+            case actions.SendPeer():
+                self._spawn(self._peers.send, action.node, action.message)
+            case actions.LogDecision():
+                self._logger.info(action.decision, extra=dict(action.fields))
+                self._metrics.count(f"decision.{action.decision}")
+            case actions.CountMetric():
+                self._metrics.count(action.name, action.amount)
+            case actions.StopNode():
+                self.stopped.set()
+
+    def _spawn(
+        self, function: t.Callable[..., t.Awaitable[None]], *args: t.Any
+    ) -> None:
+        if self._nursery is None:
+            raise RuntimeError("call start before the first event")
+        self._nursery.start_soon(function, *args)
+
+    def _output(self, request: str, output: Output) -> None:
+        sender = self._outputs.get(request)
+        if sender is None:
+            return
+        try:
+            sender.send_nowait(output)
+        except trio.BrokenResourceError:
+            self._outputs.pop(request, None)
+
+    def _set_timer(self, action: actions.SetTimer) -> None:
+        self._clear_timer(action.timer)
+        scope = trio.CancelScope()
+        self._timers[action.timer] = scope
+        self._spawn(self._wait_timer, action, scope)
+
+    def _clear_timer(self, timer: str) -> None:
+        scope = self._timers.pop(timer, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _wait_timer(
+        self, action: actions.SetTimer, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            await trio.sleep(max(0.0, action.at - self._clock.now()))
+            if self._timers.get(action.timer) is not scope:
+                return
+            del self._timers[action.timer]
+            self.post(TimerFired(action.timer))
+
+    async def _follow(self, action: actions.StartAttempt) -> None:
+        key = (action.request, action.attempt)
+        with trio.CancelScope() as scope:
+            self._attempts[key] = scope
+            await self._engines.follow(action)
+        self._attempts.pop(key, None)
+
+    def _cancel_attempt(self, action: actions.CancelAttempt) -> None:
+        scope = self._attempts.pop((action.request, action.attempt), None)
+        if scope is not None:
+            scope.cancel()
+        self._spawn(self._engines.cancel, action)
+
+    async def _probe(self, action: actions.ProbeUpstream) -> None:
+        answered = await self._engines.probe(
+            action.upstream, action.address, action.timeout
+        )
+        self.post(UpstreamProbed(action.upstream, answered))
+
+    async def _read(self, action: actions.ReadPlatform) -> None:
+        try:
+            found = await self._platform.get(action.key)
+        except PlatformError:
+            self.post(PlatformFailed(action.tag, action.key))
+            return
+        value = found.value if found is not None else None
+        revision = found.revision if found is not None else 0
+        self.post(PlatformValue(action.tag, action.key, value, revision))
+
+    async def _swap(self, action: actions.SwapPlatform) -> None:
+        try:
+            revision = await self._platform.swap(
+                action.key, action.expected, action.value, action.lease
+            )
+        except PlatformError:
+            self.post(PlatformFailed(action.tag, action.key))
+            return
+        except PlatformAnswerLost:
+            self.post(SwapLost(action.tag, action.key))
+            return
+        if revision is None:
+            self.post(SwapConflicted(action.tag, action.key))
+            return
+        self.post(Swapped(action.tag, action.key, revision))
+
+    async def _grant(self, action: actions.GrantLease) -> None:
+        asked_at = self._clock.now()
+        try:
+            if action.lease:
+                lease = await self._platform.renew(action.lease)
+            else:
+                lease = await self._platform.grant(action.ttl)
+        except (PlatformError, PlatformAnswerLost):
+            self.post(PlatformFailed(action.tag, ""))
+            return
+        if lease is None:
+            self.post(PlatformFailed(action.tag, ""))
+            return
+        self.post(LeaseGranted(action.tag, lease.lease, lease.ttl, asked_at))
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,203 @@
+"""Shows the main job with real processes; ends non-zero if a check fails.
+
+Run it with ``make demo``.
+"""
+
+import concurrent.futures
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import typing as t
+
+import httpx
+
+from tests.standins.cluster import API_KEY, LAYER_COUNT, Cluster, wait_until
+from tests.standins.journal import read_journal
+from tests.standins.model import expect_answer
+
+HEADERS = {"authorization": f"Bearer {API_KEY}"}
+TIMEOUT = 30.0  # seconds
+LOAD_REQUESTS = 24
+
+
+class CheckFailed(Exception):
+    """Something that the demo shows did not hold."""
+
+
+def check(held: bool, what: str) -> None:
+    """Print a check, and raise if it did not hold."""
+    print(f"   {'ok' if held else 'FAILED'}: {what}", flush=True)
+    if not held:
+        raise CheckFailed(what)
+
+
+def ask(
+    cluster: Cluster, node: str, text: str, length: int, **options: t.Any
+) -> httpx.Response:
+    """Ask a node for an answer."""
+    body = {
+        "model": "jury",
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": length,
+        **options,
+    }
+    url = cluster.addresses[node] + "/v1/chat/completions"
+    return httpx.post(url, json=body, headers=HEADERS, timeout=TIMEOUT)
+
+
+def read_stream(response: httpx.Response) -> tuple[str, bool]:
+    """Return a streamed answer's text and whether its terminator came."""
+    parts = []
+    done = False
+    for line in response.text.splitlines():
+        if line == "data: [DONE]":
+            done = True
+        elif line.startswith("data: "):
+            item = json.loads(line[6:])
+            for choice in item.get("choices", []):
+                parts.append(choice["delta"].get("content") or "")
+    return "".join(parts), done
+
+
+def expect(text: str, length: int) -> str:
+    """Return the one correct answer."""
+    messages = [{"role": "user", "content": text}]
+    return "".join(expect_answer(messages, "1", LAYER_COUNT, length))
+
+
+def find_chains(cluster: Cluster) -> list[str]:
+    """Return the chains in the nodes' logs, in order."""
+    found = []
+    for node in cluster.nodes:
+        for line in (cluster.folder / f"{node}.log").read_text().splitlines():
+            try:
+                entry = json.loads(line)
+            except ValueError:
+                continue
+            if entry.get("event") == "chain_chosen":
+                found.append((entry["time"], f"{node}: {entry['chain']}"))
+    return [text for _, text in sorted(found)]
+
+
+def count_chains(cluster: Cluster, node: str) -> int:
+    """Return how many chains a node has chosen."""
+    return sum(chain.startswith(f"{node}:") for chain in find_chains(cluster))
+
+
+def show_answers(cluster: Cluster) -> None:
+    """A streamed and a whole answer."""
+    print("1. a streamed and a whole answer")
+    text, done = read_stream(ask(cluster, "node-0", "stream", 12, stream=True))
+    check(text == expect("stream", 12) and done, "the streamed answer is whole")
+    whole = ask(cluster, "node-1", "whole", 12).json()
+    content = whole["choices"][0]["message"]["content"]
+    check(content == expect("whole", 12), "the whole answer is correct")
+    for chain in find_chains(cluster):
+        print(f"   chain {chain}")
+
+
+def show_configuration(cluster: Cluster) -> None:
+    """One change of configuration, in force on all nodes."""
+    print("2. one change of configuration")
+    later = cluster.folder / "configuration" / "20-alias.ini"
+    later.write_text("[route:jury-new]\nmodel = jury@1\n")
+    cluster.apply()
+    begun = time.monotonic()
+
+    def in_force(node: str) -> bool:
+        url = cluster.addresses[node] + "/v1/models"
+        items = httpx.get(url, headers=HEADERS, timeout=5.0).json()["data"]
+        return "jury-new" in [item["id"] for item in items]
+
+    for node in cluster.nodes:
+        wait_until(lambda node=node: in_force(node), 14.0, f"change on {node}")
+    check(True, f"in force on all nodes after {time.monotonic() - begun:.1f} s")
+
+
+def show_recovery(cluster: Cluster) -> None:
+    """One stage killed in mid-answer."""
+    print("3. a stage killed in mid-answer")
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        future = pool.submit(
+            ask, cluster, "node-0", "recover", 150, stream=True, priority=0
+        )
+        time.sleep(0.6)
+        victim = find_chains(cluster)[-1].split()[1].partition("[")[0]
+        cluster.signal(victim, signal.SIGKILL)
+        text, done = read_stream(future.result())
+    print(f"   killed {victim}")
+    check(text == expect("recover", 150) and done, "the answer is whole and correct")
+    chains = find_chains(cluster)[-2:]
+    check(victim in chains[0] and victim not in chains[1], "another chain went on")
+    for chain in chains:
+        print(f"   chain {chain}")
+    cluster.start_process(victim)
+
+
+def show_stop(cluster: Cluster) -> None:
+    """A planned stop under load."""
+    print("4. a planned stop under load")
+    with concurrent.futures.ThreadPoolExecutor(LOAD_REQUESTS) as pool:
+        futures = []
+        for index in range(LOAD_REQUESTS):
+            futures.append(pool.submit(ask, cluster, "node-2", f"load {index}", 60))
+        wait_until(
+            lambda: count_chains(cluster, "node-2") >= LOAD_REQUESTS, 10.0, "load"
+        )
+        cluster.signal("node-2", signal.SIGTERM)
+        answers = [future.result() for future in futures]
+    whole = 0
+    for index, answer in enumerate(answers):
+        if answer.status_code != 200:
+            print("  ", answer.status_code, answer.text[:200])
+        else:
+            content = answer.json()["choices"][0]["message"]["content"]
+            whole += content == expect(f"load {index}", 60)
+    check(whole == LOAD_REQUESTS, f"{whole} of {LOAD_REQUESTS} answers are whole")
+    code = cluster.processes["node-2"].wait(15)
+    check(code == 0, "the node ended with exit code 0")
+
+
+def check_layers(cluster: Cluster) -> None:
+    """Judge from the engines' journals that no layer ran twice in a pass."""
+    print("5. the engines' journals")
+    seen = set()
+    doubled = 0
+    for spec in cluster.engines:
+        for entry in read_journal(cluster.journal(spec.name)):
+            if entry["kind"] != "layers":
+                continue
+            for layer in range(entry["first"], entry["last"] + 1):
+                key = (entry["request"], entry["attempt"], entry["position"], layer)
+                doubled += key in seen
+                seen.add(key)
+    check(doubled == 0, f"no layer ran twice in {len(seen)} runs of a layer")
+
+
+def main() -> int:
+    """Run the demo."""
+    begun = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(pathlib.Path(folder))
+        try:
+            cluster.start()
+            print(f"started {len(cluster.processes)} processes")
+            show_answers(cluster)
+            show_configuration(cluster)
+            show_recovery(cluster)
+            show_stop(cluster)
+            check_layers(cluster)
+        except (CheckFailed, TimeoutError) as error:
+            print(f"demo failed: {error}")
+            return 1
+        finally:
+            cluster.close()
+    print(f"demo passed in {time.monotonic() - begun:.1f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the model engines and plain services."""
--- /dev/null
+++ b/tests/standins/cluster.py
@@ -0,0 +1,263 @@
+"""Starts and ends a small fleet of real processes on loopback."""
+
+import hashlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing as t
+from dataclasses import dataclass, field
+
+import httpx
+
+START_TIMEOUT = 15.0  # seconds
+STOP_TIMEOUT = 15.0  # seconds
+API_KEY = "key-of-courts"
+LAYER_COUNT = 12
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free loopback ports."""
+    sockets = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sockets.append(sock)
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def wait_until(check: t.Callable[[], bool], timeout: float, what: str) -> None:
+    """Wait for a condition; raise ``TimeoutError`` if it does not come."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        if check():
+            return
+        time.sleep(0.05)
+    raise TimeoutError(f"{what} did not happen in {timeout} s")
+
+
+def answers(url: str) -> bool:
+    """Tell whether a URL answers with status 200."""
+    try:
+        return httpx.get(url, timeout=1.0).status_code == 200
+    except httpx.HTTPError:
+        return False
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """One engine of the fleet."""
+
+    name: str
+    layers: str
+    speed: float
+
+
+DEFAULT_ENGINES = (
+    EngineSpec("fast-a", "0-5", 2000.0),
+    EngineSpec("fast-b", "6-11", 2000.0),
+    EngineSpec("slow-a", "0-7", 1000.0),
+    EngineSpec("slow-b", "4-11", 1000.0),
+)
+
+
+@dataclass(slots=True)
+class Cluster:
+    """Processes of one test or demo; ``start`` and ``close`` own them."""
+
+    folder: pathlib.Path
+    node_count: int = 3
+    engines: tuple[EngineSpec, ...] = DEFAULT_ENGINES
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    peer_addresses: dict[str, str] = field(default_factory=dict)
+    commands: dict[str, list[str]] = field(default_factory=dict)
+
+    @property
+    def nodes(self) -> list[str]:
+        """Names of the nodes."""
+        return [f"node-{index}" for index in range(self.node_count)]
+
+    def start(self) -> None:
+        """Start all processes, apply the configuration, wait until ready."""
+        self.start_platform()
+        for spec in self.engines:
+            self.start_engine(spec)
+        self.start_service("register-1", "register")
+        for name in self.nodes:
+            self.prepare_node(name)
+        self.write_configuration()
+        self.apply()
+        for name in self.nodes:
+            self.start_process(name)
+        for name in self.nodes:
+            self.wait_ready(name)
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_TIMEOUT)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in."""
+        port = self._take_address("platform")
+        self.commands["platform"] = self._module("tests.standins.platform", str(port))
+        self.start_process("platform")
+        self._wait_alive("platform", "/counts")
+
+    def start_engine(self, spec: EngineSpec) -> None:
+        """Start one engine."""
+        port = self._take_address(spec.name)
+        self.commands[spec.name] = self._module(
+            "tests.standins.engine",
+            f"--name={spec.name}",
+            f"--port={port}",
+            f"--layers={spec.layers}",
+            f"--speed={spec.speed}",
+            f"--journal={self.journal(spec.name)}",
+        )
+        self.start_process(spec.name)
+        self._wait_alive(spec.name, "/livez")
+
+    def start_service(self, name: str, service: str) -> None:
+        """Start one plain service."""
+        port = self._take_address(name)
+        self.commands[name] = self._module(
+            "tests.standins.service",
+            f"--name={name}",
+            f"--port={port}",
+            f"--journal={self.journal(name)}",
+        )
+        self.start_process(name)
+        self._wait_alive(name, "/livez")
+
+    def prepare_node(self, name: str) -> None:
+        """Write a node's settings."""
+        caller, peer = find_ports(2)
+        self.addresses[name] = f"http://127.0.0.1:{caller}"
+        self.peer_addresses[name] = f"http://127.0.0.1:{peer}"
+        secret = self.folder / "peer-secret"
+        secret.write_text("loopback-secret")
+        settings = self.folder / f"{name}.ini"
+        settings.write_text(
+            "[node]\n"
+            f"name = {name}\n"
+            "data_center = mi-1\n"
+            f"caller_bind = 127.0.0.1:{caller}\n"
+            f"peer_bind = 127.0.0.1:{peer}\n"
+            f"peer_address = http://127.0.0.1:{peer}\n"
+            f"peer_secret_file = {secret}\n"
+            f"peers = {' '.join(self.peer_addresses.values())}\n"
+            "balancer_lag = 0.5\n"
+            "[platform]\n"
+            f"address = {self.addresses['platform']}\n"
+            f"vms = {self.addresses['platform']}/vms\n"
+        )
+        self.commands[name] = self._module("tarragonrudder.daemon", str(settings))
+
+    def start_process(self, name: str) -> None:
+        """Start a process by its name, or start it again."""
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            self.commands[name], stdout=log, stderr=log
+        )
+        log.close()
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a node is ready."""
+        url = self.addresses[name] + "/readyz"
+        wait_until(lambda: answers(url), START_TIMEOUT, f"{name} ready")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def set_faults(self, name: str, **faults: t.Any) -> None:
+        """Set a stand-in's faults; those not named end."""
+        url = self.addresses[name] + "/faults"
+        httpx.post(url, json=faults, timeout=5.0).raise_for_status()
+
+    def journal(self, name: str) -> pathlib.Path:
+        """Return the path of a stand-in's journal."""
+        return self.folder / f"{name}.journal"
+
+    def write_configuration(self) -> None:
+        """Write the operators' folder."""
+        target = self.folder / "configuration"
+        target.mkdir(exist_ok=True)
+        digest = hashlib.sha256(API_KEY.encode()).hexdigest()
+        lines = [
+            "[model:jury@1]",
+            f"layers = {LAYER_COUNT}",
+            "[route:jury]",
+            "model = jury@1",
+            "[priority:normal]",
+            "level = 1",
+            "deadline_s = 30",
+            "[account:courts]",
+            f"key_hashes = {digest}",
+            "requests_per_second = 500",
+            "burst = 500",
+            "[service-route:register]",
+            "timeout_s = 5",
+            "[service:register-1]",
+            f"address = {self.addresses['register-1']}",
+            "data_center = mi-1",
+            "service = register",
+        ]
+        for spec in self.engines:
+            lines += [
+                f"[engine:{spec.name}]",
+                f"address = {self.addresses[spec.name]}",
+                "data_center = mi-1",
+                "accelerator = l40",
+                "model = jury@1",
+                f"layers = {spec.layers}",
+                f"layer_tokens_per_second = {spec.speed}",
+            ]
+        (target / "10-base.ini").write_text("\n".join(lines) + "\n")
+
+    def apply(self) -> subprocess.CompletedProcess[str]:
+        """Apply the folder with the operators' tool."""
+        return self.run_tool(
+            "apply",
+            str(self.folder / "configuration"),
+            f"--platform={self.addresses['platform']}",
+        )
+
+    def run_tool(
+        self, *arguments: str, check: bool = True
+    ) -> subprocess.CompletedProcess[str]:
+        """Run the operators' tool."""
+        return subprocess.run(
+            self._module("tarragonrudder.cli", *arguments),
+            check=check,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    def _take_address(self, name: str) -> int:
+        (port,) = find_ports(1)
+        self.addresses[name] = f"http://127.0.0.1:{port}"
+        return port
+
+    def _wait_alive(self, name: str, path: str) -> None:
+        url = self.addresses[name] + path
+        wait_until(lambda: answers(url), START_TIMEOUT, f"{name} alive")
+
+    def _module(self, name: str, *arguments: str) -> list[str]:
+        return [sys.executable, "-m", name, *arguments]
--- /dev/null
+++ b/tests/standins/service.py
@@ -0,0 +1,108 @@
+"""Stand-in of a plain service: it runs every call that it gets.
+
+Run it with ``python -m tests.standins.service --name N --port P``. A POST
+appends an entry and is not idempotent; ``GET /outcomes/KEY`` tells whether a
+call with that idempotency key ran. ``POST /faults`` sets faults.
+"""
+
+import argparse
+import os
+import typing as t
+from dataclasses import dataclass, field
+
+import orjson
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from tests.standins.journal import Journal
+from tests.standins.serving import serve_app
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults in force.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds between running a call and its answer.
+    crash : str
+        ``before`` or ``after`` running the next POST, or empty.
+    """
+
+    delay: float = 0.0
+    crash: str = ""
+
+
+@dataclass(slots=True)
+class State:
+    """What a service holds."""
+
+    name: str
+    journal: Journal
+    faults: Faults = field(default_factory=Faults)
+    runs: dict[str, int] = field(default_factory=dict)
+    count: int = 0
+
+
+def make_app(state: State) -> QuartTrio:
+    """Return the stand-in's application."""
+    app = QuartTrio(__name__)
+
+    def respond(body: t.Any, status: int = 200) -> Response:
+        return Response(
+            orjson.dumps(body), status=status, content_type="application/json"
+        )
+
+    @app.get("/livez")
+    async def report_alive() -> Response:
+        return Response("ok")
+
+    @app.post("/faults")
+    async def set_faults() -> Response:
+        state.faults = Faults(**orjson.loads(await request.get_data()))
+        return respond({})
+
+    @app.get("/outcomes/<key>")
+    async def report_outcome(key: str) -> Response:
+        return respond({"runs": state.runs.get(key, 0)})
+
+    @app.post("/<path:path>")
+    async def run_action(path: str) -> Response:
+        body = await request.get_data()
+        key = request.headers.get("idempotency-key", "")
+        if state.faults.crash == "before":
+            os._exit(70)
+        state.count += 1
+        state.runs[key] = state.runs.get(key, 0) + 1
+        state.journal.write(
+            "ran", upstream=state.name, key=key, path=path, body=body.decode()
+        )
+        if state.faults.crash == "after":
+            os._exit(70)
+        if state.faults.delay:
+            await trio.sleep(state.faults.delay)
+        return respond({"number": state.count, "by": state.name}, 201)
+
+    @app.get("/<path:path>")
+    async def look_up(path: str) -> Response:
+        state.journal.write("read", upstream=state.name, path=path)
+        return respond({"path": path, "count": state.count})
+
+    return app
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--journal")
+    given = parser.parse_args()
+    state = State(given.name, Journal(given.journal))
+    trio.run(serve_app, make_app(state), given.port)
+
+
+if __name__ == "__main__":
+    main()
