--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -176,7 +176,7 @@
             answer.ticket.model,
             chat.fingerprint,
             self._membership.unusable(now),
-            answer.chain,
+            keep=answer.chain,
         )
         chain = self._selector.choose(need, now)
         if chain is None:
--- a/src/tarragonrudder/core/selection.py
+++ b/src/tarragonrudder/core/selection.py
@@ -18,6 +18,8 @@
         Digest of the prompt's prefix, to find cached prefixes.
     excluded : frozenset of str
         Upstreams that must not be in the chain.
+    avoided : frozenset of str
+        Upstreams that are used only if there is no other chain.
     keep : Chain or None
         Broken chain whose healthy stages are kept where possible.
     """
@@ -25,6 +27,7 @@
     model: Model
     prefix: str
     excluded: frozenset[str]
+    avoided: frozenset[str] = frozenset()
     keep: Chain | None = None
 
 
--- /dev/null
+++ b/tests/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix: every fault at every step, with its proof."""
--- /dev/null
+++ b/tests/matrix/cells.py
@@ -0,0 +1,18 @@
+"""All cells; each area keeps its own in a module beside this one.
+
+Such a module has a function ``list_cells`` and is named in ``AREAS``.
+"""
+
+import typing as t
+
+from tests.matrix.table import Cell
+
+AREAS: tuple[t.Callable[[], list[Cell]], ...] = ()
+
+
+def list_cells() -> list[Cell]:
+    """Return the cells of all areas."""
+    cells: list[Cell] = []
+    for list_area in AREAS:
+        cells.extend(list_area())
+    return cells
