--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -240,7 +240,11 @@
             return
         emitted.append(text)
         yield {"position": position, "text": text}
-    yield {"finish_reason": "length", "length": len(emitted)}
+    yield {
+        "finish_reason": "length",
+        "length": len(emitted),
+        "prompt_tokens": len(str(work["messages"]).split()),
+    }
 
 
 async def run(options: EngineOptions) -> None:
