Authenticate node-to-node messages for one receiver, with TLS by settings

A signed message could be given to any node, and fields were not checked against the message's types. The receiver is signed now, fields are validated, two secrets are accepted so that one is replaced node by node, and both sides show certificates where the settings name them. Headers that stay incomplete end the connection after 5 s. hypercorn's read timeout was tried and left out: it ends the connection of a caller that waits for an answer and sends nothing.

--- a/src/tarragonrudder/daemon.py
+++ b/src/tarragonrudder/daemon.py
@@ -17,12 +17,19 @@
 from tarragonrudder.edges.driver import Driver
 from tarragonrudder.edges.log import open_log
 from tarragonrudder.edges.metrics import Metrics
-from tarragonrudder.edges.peer import make_peer_app
+from tarragonrudder.edges.peer import PeerClient, make_peer_app, parse_secrets
 from tarragonrudder.edges.platform import PlatformClient
 from tarragonrudder.edges.settings import Settings, read_settings
 from tarragonrudder.edges.sync import PlatformSync
+from tarragonrudder.edges.tls import (
+    make_peer_context,
+    secure_caller_port,
+    secure_peer_port,
+)
 from tarragonrudder.errors import RouterError
 
+MAX_HEADER_BYTES = 32 * 1024
+IDLE_TIMEOUT = 5.0  # seconds for the next request's headers to be whole
 GRACEFUL_TIMEOUT = 5.0  # seconds for connections to close after the last answer
 
 
@@ -34,10 +41,13 @@
         node = settings.node
         self._logger = open_log(node.name, node.log_level)
         self._metrics = Metrics(settings.statsd.host, settings.statsd.port)
-        self._secret = node.peer_secret_file.read_bytes().strip()
+        self._secrets = parse_secrets(node.peer_secret_file.read_bytes())
         self._platform = PlatformClient(
             settings.platform.address, settings.platform.timeout
         )
+        peers = PeerClient(
+            node.name, self._secrets, make_peer_context(settings.tls), self._metrics
+        )
         options = NodeOptions(node.name, node.data_center, node.balancer_lag)
         core = Node(options, random.Random())
         self._driver = Driver(
@@ -46,8 +56,7 @@
             self._platform,
             self._logger,
             self._metrics,
-            self._secret,
-            node.name,
+            peers,
         )
         self._sync = PlatformSync(settings, self._platform, self._driver, self._logger)
 
@@ -72,18 +81,30 @@
     async def _serve_ports(self) -> None:
         """Serve both ports until the last answer has left."""
         caller_app = make_caller_app(self._driver, self._logger)
-        peer_app = make_peer_app(self._secret, self._metrics, self._driver.post)
         node = self._settings.node
+        peer_app = make_peer_app(
+            node.name, self._secrets, self._metrics, self._driver.post
+        )
+        caller_config = self._make_config(node.caller_bind)
+        secure_caller_port(caller_config, self._settings.tls)
+        peer_config = self._make_config(node.peer_bind)
+        secure_peer_port(peer_config, self._settings.tls)
         async with trio.open_nursery() as ports:
-            ports.start_soon(self._serve, caller_app, node.caller_bind)
-            ports.start_soon(self._serve, peer_app, node.peer_bind)
+            ports.start_soon(self._serve, caller_app, caller_config)
+            ports.start_soon(self._serve, peer_app, peer_config)
 
-    async def _serve(self, app: QuartTrio, bind: str) -> None:
+    def _make_config(self, bind: str) -> Config:
         config = Config()
         config.bind = [bind]
         config.graceful_timeout = GRACEFUL_TIMEOUT
         config.accesslog = None
         config.errorlog = self._logger
+        config.h11_max_incomplete_size = MAX_HEADER_BYTES
+        # No read timeout: a caller that waits for a long answer sends nothing.
+        config.keep_alive_timeout = IDLE_TIMEOUT
+        return config
+
+    async def _serve(self, app: QuartTrio, config: Config) -> None:
         await serve(app, config, shutdown_trigger=self._driver.wait_stopped)
 
     async def _watch_signals(self) -> None:
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -11,6 +11,7 @@
     Event,
     LeaseGranted,
     NodesListed,
+    PeerLost,
     PlatformFailed,
     PlatformValue,
     SwapConflicted,
@@ -50,8 +51,7 @@
         platform: PlatformClient,
         logger: logging.Logger,
         metrics: Metrics,
-        peer_secret: bytes,
-        name: str,
+        peers: PeerClient,
     ) -> None:
         self.node = node
         self.stopped = trio.Event()
@@ -61,7 +61,7 @@
         self._metrics = metrics
         self._engines = EngineClient(self.post)
         self._services = ServiceClient(self.post)
-        self._peers = PeerClient(name, peer_secret, metrics, self.post)
+        self._peers = peers
         self._outputs: dict[str, trio.MemorySendChannel[Output]] = {}
         self._inputs: dict[str, ServiceInput] = {}
         self._attempts: dict[tuple[str, int], trio.CancelScope] = {}
@@ -138,7 +138,7 @@
             case actions.GrantLease():
                 self._spawn(self._grant, action)
             case actions.SendPeer():
-                self._spawn(self._peers.send, action.node, action.message)
+                self._spawn(self._send_peer, action)
             case actions.LogDecision():
                 self._logger.info(action.decision, extra=dict(action.fields))
                 self._metrics.count(f"decision.{action.decision}")
@@ -179,6 +179,10 @@
             scope.cancel()
         self._spawn(self._engines.cancel, action)
 
+    async def _send_peer(self, action: actions.SendPeer) -> None:
+        if not await self._peers.send(action.node, action.message):
+            self.post(PeerLost(action.node, action.message))
+
     async def _probe(self, action: actions.ProbeUpstream) -> None:
         answered = await self._engines.probe(
             action.upstream, action.address, action.timeout
--- a/src/tarragonrudder/edges/peer.py
+++ b/src/tarragonrudder/edges/peer.py
@@ -2,31 +2,87 @@
 
 import hashlib
 import hmac
+import ssl
 import time
 import typing as t
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 import httpx
 import orjson
+from pydantic import TypeAdapter
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from tarragonrudder.core.event import NodeAddress, PeerLost, PeerReached
+from tarragonrudder.core.event import NodeAddress, PeerReached
 from tarragonrudder.core.message import MESSAGES, Message
 from tarragonrudder.edges.metrics import Metrics
-from tarragonrudder.errors import PeerRefused
+from tarragonrudder.errors import PeerRefused, SettingsError
 
 PEER_TIMEOUT = 2.0  # seconds
 MAX_MESSAGE_BYTES = 256 * 1024
 MAX_AGE = 30.0  # seconds between sending and arrival
 SIGNATURE_HEADER = "x-tarragonrudder-signature"
-_TYPES = {kind.__name__: kind for kind in MESSAGES}
+MESSAGE_PATH = "/peer/message"
+MIN_SECRET_BYTES = 16
+_ADAPTERS = {kind.__name__: TypeAdapter(kind) for kind in MESSAGES}
 
 
-def encode_message(node: str, message: Message, sent_at: float) -> bytes:
-    """Return a message as JSON."""
+@dataclass(frozen=True, slots=True)
+class PeerSecrets:
+    """Shared secrets of the nodes: the first signs, each one is accepted.
+
+    With two, a secret is replaced node by node: add the new one as second
+    everywhere, then make it the first everywhere, then drop the old one.
+    """
+
+    secrets: tuple[bytes, ...]
+
+    def sign(self, body: bytes) -> str:
+        """Return the hexadecimal HMAC-SHA-256 of a body."""
+        return hmac.new(self.secrets[0], body, hashlib.sha256).hexdigest()
+
+    def verify(self, body: bytes, signature: str) -> bool:
+        """Tell whether one of the secrets gives this signature."""
+        found = False
+        for secret in self.secrets:
+            expected = hmac.new(secret, body, hashlib.sha256).hexdigest()
+            if hmac.compare_digest(expected.encode(), signature.encode()):
+                found = True
+        return found
+
+
+def parse_secrets(content: bytes) -> PeerSecrets:
+    """Return the secrets of a file that has one on each line.
+
+    Raises
+    ------
+    SettingsError
+        If there is none or one is too short.
+    """
+    secrets = []
+    for line in content.split():
+        if len(line) < MIN_SECRET_BYTES:
+            raise SettingsError(
+                f"a node-to-node secret is under {MIN_SECRET_BYTES} bytes; "
+                "make a longer one"
+            )
+        secrets.append(line)
+    if not secrets:
+        raise SettingsError("the node-to-node secret file is empty; put a secret in")
+    return PeerSecrets(tuple(secrets))
+
+
+def encode_message(
+    sender: str, receiver: str, message: Message, sent_at: float
+) -> bytes:
+    """Return a message as JSON.
+
+    The receiver is part of what is signed, so that a message that was
+    overheard can't be given to another node.
+    """
     body = {
-        "node": node,
+        "sender": sender,
+        "receiver": receiver,
         "sent_at": sent_at,
         "kind": type(message).__name__,
         "fields": asdict(message),
@@ -34,32 +90,28 @@
     return orjson.dumps(body)
 
 
-def sign_message(secret: bytes, body: bytes) -> str:
-    """Return the hexadecimal HMAC-SHA-256 of a body."""
-    return hmac.new(secret, body, hashlib.sha256).hexdigest()
-
-
 def decode_message(
-    secret: bytes, body: bytes, signature: str, now: float
+    secrets: PeerSecrets, receiver: str, body: bytes, signature: str, now: float
 ) -> PeerReached:
     """Check and decode a message.
 
     Raises
     ------
     PeerRefused
-        If it is forged, stale or not understood.
+        If it is forged, stale, for another node or not understood.
     """
-    expected = sign_message(secret, body)
-    if not hmac.compare_digest(expected.encode(), signature.encode()):
+    if not secrets.verify(body, signature):
         raise PeerRefused("the signature is wrong; give all nodes the same secret")
     try:
         item = orjson.loads(body)
+        if item["receiver"] != receiver:
+            raise PeerRefused("the message is for another node; check the addresses")
         if abs(now - float(item["sent_at"])) > MAX_AGE:
             raise PeerRefused("the message is stale; set the VMs' clocks")
-        kind = _TYPES[item["kind"]]
-        return PeerReached(str(item["node"]), kind(**item["fields"]))
+        message = _ADAPTERS[item["kind"]].validate_python(item["fields"])
+        return PeerReached(str(item["sender"]), message)
     except (ValueError, KeyError, TypeError) as error:
-        raise PeerRefused(f"not understood: {error}; upgrade the older node") from error
+        raise PeerRefused("it is not understood; upgrade the older node") from error
 
 
 class PeerClient:
@@ -68,16 +120,15 @@
     def __init__(
         self,
         name: str,
-        secret: bytes,
+        secrets: PeerSecrets,
+        context: ssl.SSLContext | bool,
         metrics: Metrics,
-        post: t.Callable[[t.Any], None],
     ) -> None:
         self._name = name
-        self._secret = secret
+        self._secrets = secrets
         self._metrics = metrics
-        self._post = post
         self._addresses: dict[str, str] = {}
-        self._client = httpx.AsyncClient(timeout=PEER_TIMEOUT)
+        self._client = httpx.AsyncClient(timeout=PEER_TIMEOUT, verify=context)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -87,41 +138,53 @@
         """Replace the addresses of the nodes."""
         self._addresses = {node.name: node.address for node in nodes}
 
-    async def send(self, node: str, message: Message) -> None:
-        """Send one message; post ``PeerLost`` if it does not arrive."""
+    async def send(self, node: str, message: Message) -> bool:
+        """Send one message; tell whether it arrived."""
         address = self._addresses.get(node)
         if address is None:
-            self._post(PeerLost(node, message))
-            return
-        body = encode_message(self._name, message, time.time())
+            return False
+        body = encode_message(self._name, node, message, time.time())
         headers = {
             "content-type": "application/json",
-            SIGNATURE_HEADER: sign_message(self._secret, body),
+            SIGNATURE_HEADER: self._secrets.sign(body),
         }
-        self._metrics.count("peer.bytes_sent", len(body))
         try:
             response = await self._client.post(
-                address + "/peer/message", content=body, headers=headers
+                address + MESSAGE_PATH, content=body, headers=headers
             )
+            self._metrics.count("peer.bytes_sent", measure_request(response.request))
             response.raise_for_status()
         except httpx.HTTPError:
-            self._post(PeerLost(node, message))
+            self._metrics.count("peer.lost")
+            return False
+        return True
+
+
+def measure_request(sent: httpx.Request) -> int:
+    """Return the bytes of a request: line, headers and body."""
+    size = len(sent.method) + len(sent.url.raw_path) + len(" HTTP/1.1\r\n\r\n") + 1
+    for name, value in sent.headers.raw:
+        size += len(name) + len(value) + 4
+    return size + len(sent.content)
 
 
 def make_peer_app(
-    secret: bytes, metrics: Metrics, post: t.Callable[[t.Any], None]
+    name: str,
+    secrets: PeerSecrets,
+    metrics: Metrics,
+    post: t.Callable[[t.Any], None],
 ) -> QuartTrio:
     """Return the application of the node-to-node port."""
     app = QuartTrio(__name__)
     app.config["MAX_CONTENT_LENGTH"] = MAX_MESSAGE_BYTES
 
-    @app.post("/peer/message")
+    @app.post(MESSAGE_PATH)
     async def receive_message() -> Response:
         body = await request.get_data()
         metrics.count("peer.bytes_received", len(body))
         signature = request.headers.get(SIGNATURE_HEADER, "")
         try:
-            event = decode_message(secret, body, signature, time.time())
+            event = decode_message(secrets, name, body, signature, time.time())
         except PeerRefused as error:
             metrics.count("peer.refused")
             return Response(str(error), status=403)
--- a/src/tarragonrudder/edges/settings.py
+++ b/src/tarragonrudder/edges/settings.py
@@ -3,7 +3,7 @@
 import configparser
 import pathlib
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from tarragonrudder.errors import SettingsError
 
@@ -45,6 +45,32 @@
     port: int = Field(8125, ge=1, le=65535)
 
 
+class TlsSettings(BaseModel):
+    """Section ``[tls]``: PEM files; a port without them speaks plain HTTP."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    caller_certificate: pathlib.Path | None = None
+    caller_key: pathlib.Path | None = None
+    peer_certificate: pathlib.Path | None = None
+    peer_key: pathlib.Path | None = None
+    peer_authority: pathlib.Path | None = Field(
+        None, description="certificates that sign the nodes' certificates"
+    )
+
+    @model_validator(mode="after")
+    def check_complete(self) -> "TlsSettings":
+        """Refuse a port of which only some of the files are named."""
+        if (self.caller_certificate is None) != (self.caller_key is None):
+            raise ValueError("name both caller_certificate and caller_key, or neither")
+        named = [self.peer_certificate, self.peer_key, self.peer_authority]
+        if any(named) and not all(named):
+            raise ValueError(
+                "name all of peer_certificate, peer_key, peer_authority, or none"
+            )
+        return self
+
+
 class Settings(BaseModel):
     """All settings of one node."""
 
@@ -53,6 +79,7 @@
     node: NodeSettings
     platform: PlatformSettings
     statsd: StatsdSettings = StatsdSettings()
+    tls: TlsSettings = TlsSettings()
 
 
 def read_settings(path: pathlib.Path) -> Settings:
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -116,7 +116,7 @@
         port = self._take_address("platform")
         self.commands["platform"] = self._module("tests.standins.platform", str(port))
         self.start_process("platform")
-        self._wait_alive("platform", "/counts")
+        self.wait_alive("platform", "/counts")
 
     def start_engine(self, spec: EngineSpec) -> None:
         """Start one engine."""
@@ -130,7 +130,7 @@
             f"--journal={self.journal(spec.name)}",
         )
         self.start_process(spec.name)
-        self._wait_alive(spec.name, "/livez")
+        self.wait_alive(spec.name, "/livez")
 
     def start_service(self, name: str, service: str) -> None:
         """Start one plain service."""
@@ -142,7 +142,7 @@
             f"--journal={self.journal(name)}",
         )
         self.start_process(name)
-        self._wait_alive(name, "/livez")
+        self.wait_alive(name, "/livez")
 
     def prepare_node(self, name: str) -> None:
         """Write a node's settings."""
@@ -150,7 +150,7 @@
         self.addresses[name] = f"http://127.0.0.1:{caller}"
         self.peer_addresses[name] = f"http://127.0.0.1:{peer}"
         secret = self.folder / "peer-secret"
-        secret.write_text("loopback-secret")
+        secret.write_text("secret-of-the-loopback-nodes")
         settings = self.folder / f"{name}.ini"
         settings.write_text(
             "[node]\n"
@@ -255,7 +255,8 @@
         self.addresses[name] = f"http://127.0.0.1:{port}"
         return port
 
-    def _wait_alive(self, name: str, path: str) -> None:
+    def wait_alive(self, name: str, path: str) -> None:
+        """Wait until a process answers."""
         url = self.addresses[name] + path
         wait_until(lambda: answers(url), START_TIMEOUT, f"{name} alive")
 
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -183,6 +183,14 @@
     assert response.status_code in (400, 431)
 
 
+def test_connection_with_half_a_header_is_closed(cluster: Cluster) -> None:
+    port = int(cluster.addresses["node-0"].rsplit(":", 1)[1])
+    with socket.create_connection(("127.0.0.1", port), timeout=15.0) as connection:
+        connection.sendall(b"GET /livez HTTP/1.1\r\nhost:")
+        while connection.recv(1000):
+            continue
+
+
 def test_service_gets_method_path_and_body(cluster: Cluster) -> None:
     url = cluster.addresses["node-1"] + "/services/register/entries/7?full=1"
     response = httpx.get(url, headers=HEADERS, timeout=10)
