Decode engines' streams in a module without input or output

The client mixed sockets and parsing, took any JSON refusal for 'nothing was run', and let a malformed report pass. The decoder is a plain object now; only three documented words promise that nothing ran. Load reports and cache events ride on open streams. Stand-in engines keep, import and rebuild KV caches.

--- a/src/tarragonrudder/core/chain.py
+++ b/src/tarragonrudder/core/chain.py
@@ -25,6 +25,7 @@
 
     attempt: int
     upstream: str
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/tarragonrudder/edges/stream.py
@@ -0,0 +1,211 @@
+"""Encoding of attempts and decoding of engines' streams.
+
+The protocol is in ``docs/upstreams.md``.
+"""
+
+import typing as t
+
+import orjson
+
+from tarragonrudder.core import chain as chains
+from tarragonrudder.core.action import StartAttempt
+from tarragonrudder.core.event import (
+    AttemptEnded,
+    AttemptFailed,
+    CacheChanged,
+    Crashed,
+    Event,
+    Failure,
+    LoadReported,
+    Malformed,
+    Refused,
+    Stalled,
+    Token,
+    TokensArrived,
+    Unreachable,
+)
+
+MAX_LINE_BYTES = 1 << 20
+REFUSAL_KINDS = ("leaving", "overloaded", "refused")
+_DATA = b"data: "
+
+
+class StreamDecoder:
+    """Turns the bytes of one attempt's stream into events.
+
+    Tokens that arrive together leave as one event.
+    """
+
+    def __init__(self, request: str, attempt: int, head: str) -> None:
+        self._request = request
+        self._attempt = attempt
+        self._head = head
+        self._rest = b""
+        self.ended = False
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return what the next bytes of the stream say."""
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        if len(self._rest) > MAX_LINE_BYTES:
+            return [self.fail(Malformed("a line is too long"))]
+        events: list[Event] = []
+        tokens: list[Token] = []
+        for line in lines:
+            if not line.startswith(_DATA):
+                continue
+            try:
+                item = orjson.loads(line[len(_DATA) :])
+                if not self._is_own(item):
+                    continue
+                if "position" in item:
+                    tokens.append(_read_token(item))
+                    continue
+                events.extend(self._read_other(item))
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                events.append(self.fail(Malformed(f"{type(error).__name__}: {error}")))
+            if self.ended:
+                break
+        if tokens:
+            arrived = TokensArrived(self._request, self._attempt, tuple(tokens))
+            events.insert(0, arrived)
+        return events
+
+    def fail(self, failure: Failure) -> Event:
+        """Return the event of a stream that breaks at the head of the chain."""
+        self.ended = True
+        return AttemptFailed(self._request, self._attempt, failure, self._head)
+
+    def _is_own(self, item: dict[str, t.Any]) -> bool:
+        return item["request"] == self._request and item["attempt"] == self._attempt
+
+    def _read_other(self, item: dict[str, t.Any]) -> list[Event]:
+        if "load" in item:
+            return [_read_load(item)]
+        if "cache" in item:
+            return _read_changes(item)
+        self.ended = True
+        if "finish_reason" in item:
+            return [
+                AttemptEnded(
+                    self._request,
+                    self._attempt,
+                    int(item["length"]),
+                    str(item["finish_reason"]),
+                    int(item.get("prompt_tokens", 0)),
+                )
+            ]
+        upstream = item.get("upstream")
+        if upstream is not None and not isinstance(upstream, str):
+            raise TypeError("upstream must be a string")
+        failure = _read_failure(item["error"])
+        return [AttemptFailed(self._request, self._attempt, failure, upstream)]
+
+
+def encode_attempt(action: StartAttempt) -> bytes:
+    """Return the body of ``POST /v1/generate``."""
+    hops = []
+    for hop in action.chain.hops:
+        hops.append(
+            {
+                "upstream": hop.upstream,
+                "address": hop.address,
+                "first": hop.layers.first,
+                "last": hop.layers.last,
+                "cache": _encode_cache(hop.cache),
+            }
+        )
+    head = {
+        "request": action.request,
+        "attempt": action.attempt,
+        "model": action.chain.model,
+        "version": action.chain.version,
+        "chain": hops,
+        "emitted": action.emitted,
+        "max_tokens": action.max_tokens,
+        "order": action.order,
+        "level": action.level,
+    }
+    # The prompt is JSON already and may be large: it is not parsed again.
+    parts = [
+        orjson.dumps(head)[:-1],
+        b',"messages":',
+        action.prompt,
+        b',"options":',
+        action.options,
+        b"}",
+    ]
+    return b"".join(parts)
+
+
+def decode_refusal(status: int, content: bytes) -> Failure:
+    """Return what an answer other than 200 to ``POST /v1/generate`` means."""
+    try:
+        kind = orjson.loads(content)["kind"]
+    except (ValueError, KeyError, TypeError):
+        return Malformed(f"status {status}")
+    # Only these words promise that nothing was run.
+    if kind not in REFUSAL_KINDS:
+        return Malformed(f"status {status}")
+    return Refused(leaving=kind == "leaving")
+
+
+def _encode_cache(cache: chains.CacheSource) -> dict[str, t.Any]:
+    match cache:
+        case chains.FreshCache():
+            return {"source": "fresh"}
+        case chains.KeptCache(attempt=attempt):
+            return {"source": "kept", "attempt": attempt}
+        case chains.ImportedCache():
+            return {
+                "source": "imported",
+                "attempt": cache.attempt,
+                "upstream": cache.upstream,
+                "address": cache.address,
+            }
+        case chains.ReplayedCache():
+            return {"source": "replayed"}
+
+
+def _read_token(item: dict[str, t.Any]) -> Token:
+    position, text = item["position"], item["text"]
+    if not isinstance(position, int) or not isinstance(text, str) or position < 0:
+        raise TypeError("a token needs a position from 0 on and a text")
+    return Token(position, text)
+
+
+def _read_load(item: dict[str, t.Any]) -> Event:
+    load = item["load"]
+    return LoadReported(
+        str(item["upstream"]),
+        int(load["running"]),
+        int(load["queued"]),
+        float(load["age"]),
+    )
+
+
+def _read_changes(item: dict[str, t.Any]) -> list[Event]:
+    events: list[Event] = []
+    for change in item["cache"]:
+        events.append(
+            CacheChanged(
+                str(item["upstream"]),
+                int(change["sequence"]),
+                str(change["prefix"]),
+                bool(change["held"]),
+            )
+        )
+    return events
+
+
+def _read_failure(kind: str) -> Failure:
+    match kind:
+        case "unreachable":
+            return Unreachable()
+        case "leaving":
+            return Refused(leaving=True)
+        case "refused":
+            return Refused()
+        case "stalled":
+            return Stalled()
+    return Crashed()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -16,6 +16,7 @@
 from quart_trio import QuartTrio
 
 from tests.standins import model
+from tests.standins.cache import Caches, prepare_cache
 from tests.standins.journal import Journal
 from tests.standins.serving import serve_app
 
@@ -64,6 +65,7 @@
     journal: Journal
     client: httpx.AsyncClient
     faults: Faults = field(default_factory=Faults)
+    caches: Caches = field(default_factory=Caches)
     running: int = 0
     fencing: int = 0
     cancelled: set[tuple[str, int]] = field(default_factory=set)
@@ -88,6 +90,16 @@
         raise HopFailed("refused", options.name)
     while state.faults.frozen:
         await trio.sleep(0.05)
+    done = await prepare_cache(state.caches, state.client, work, index, position)
+    if done != "held":
+        state.journal.write(
+            "cache",
+            upstream=options.name,
+            request=work["request"],
+            attempt=work["attempt"],
+            position=position,
+            done=done,
+        )
     layers = hop["last"] - hop["first"] + 1
     await trio.sleep(layers / options.layer_tokens_per_second + state.faults.slow)
     state.journal.write(
@@ -99,6 +111,7 @@
         first=hop["first"],
         last=hop["last"],
     )
+    state.caches.extend(work["request"], position)
     value = model.apply_layers(value, work["version"], hop["first"], hop["last"])
     if index + 1 == len(work["chain"]):
         return model.read_token(value)
@@ -123,6 +136,8 @@
         response = await state.client.post(hop["address"] + "/v1/hop", json=body)
     except httpx.ConnectError as error:
         raise HopFailed("unreachable", hop["upstream"]) from error
+    except httpx.TimeoutException as error:
+        raise HopFailed("stalled", hop["upstream"]) from error
     except httpx.HTTPError as error:
         raise HopFailed("crashed", hop["upstream"]) from error
     item = response.json()
@@ -203,6 +218,16 @@
         state.cancelled.add((work["request"], work["attempt"]))
         return respond({})
 
+    @app.post("/v1/kv/export")
+    async def export_cache() -> Response:
+        work = await read_body()
+        entry = state.caches.find(
+            work["request"], work["attempt"], work["first"], work["last"]
+        )
+        if entry is None:
+            return respond({"kind": "cache_missing"}, 404)
+        return respond({"length": entry.length})
+
     @app.get("/v1/load")
     async def report_load() -> Response:
         return respond({"running": state.running, "queued": 0, "age": 0.0})
@@ -228,6 +253,8 @@
     state: State, work: dict[str, t.Any]
 ) -> t.AsyncIterator[dict[str, t.Any]]:
     emitted = list(work["emitted"])
+    load = {"running": state.running, "queued": 0, "age": 0.0}
+    yield {"load": load, "upstream": state.options.name}
     while len(emitted) < work["max_tokens"]:
         if (work["request"], work["attempt"]) in state.cancelled:
             return
