Keep records of non-idempotent calls in sharded platform values

Cause: a call with an idempotency key was sent by each node that got it. A claim is now written by compare-and-swap before the call leaves; resends get the recorded outcome.

--- a/src/tarragonrudder/core/action.py
+++ b/src/tarragonrudder/core/action.py
@@ -1,5 +1,6 @@
 """What the core asks its driver to do; the driver only translates."""
 
+import math
 import typing as t
 from dataclasses import dataclass, field
 
@@ -87,6 +88,10 @@
     ----------
     key : str or None
         Passed on as ``Idempotency-Key``.
+    send_by : float
+        The call must not leave later.
+    record : str or None
+        Identity of its action record, where there is one.
     """
 
     request: str
@@ -95,6 +100,26 @@
     address: str
     timeout: float
     key: str | None
+    send_by: float = math.inf
+    record: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ReadOutcome:
+    """Ask a plain service for the outcome of a call.
+
+    Attributes
+    ----------
+    record : str
+        Identity of the action record; an answer for another is ignored.
+    """
+
+    request: str
+    upstream: str
+    address: str
+    path: str
+    record: str
+    timeout: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,6 +264,7 @@
     | FailAnswer
     | ProbeUpstream
     | CallService
+    | ReadOutcome
     | AnswerService
     | ReadPlatform
     | SwapPlatform
--- a/src/tarragonrudder/core/call.py
+++ b/src/tarragonrudder/core/call.py
@@ -1,6 +1,11 @@
-"""Calls to plain services: repeated where idempotent, else at most once."""
+"""Calls to plain services that leave no record.
 
-from dataclasses import dataclass
+Idempotent methods are repeated on other upstreams; a call without an
+idempotency key is repeated only where nothing was sent. Calls with a key are
+handed to ``KeyedCalls``.
+"""
+
+from dataclasses import dataclass, field
 
 from tarragonrudder.core.action import (
     Action,
@@ -9,16 +14,21 @@
     FailAnswer,
     LogDecision,
 )
+from tarragonrudder.core.budget import RetryBudget
 from tarragonrudder.core.event import (
-    Refused,
+    OutcomeRead,
     ServiceAnswered,
     ServiceFailed,
     ServiceRequested,
-    Unreachable,
 )
-from tarragonrudder.core.fleet import Configuration, Service, ServiceRoute
+from tarragonrudder.core.fleet import Configuration, ServiceRoute
+from tarragonrudder.core.keyed import KeyedCalls
 from tarragonrudder.core.membership import Membership
+from tarragonrudder.core.pool import ServicePool, is_not_run, note_failure
+from tarragonrudder.core.recorder import Recorder
+from tarragonrudder.core.shard import RecordOptions
 from tarragonrudder.errors import (
+    InvalidRequest,
     NotFound,
     OutcomeUnknown,
     RunState,
@@ -26,6 +36,8 @@
 )
 
 MAX_ATTEMPTS = 3
+MAX_KEY_LENGTH = 255  # characters
+NO_UPSTREAM_RETRY_AFTER = 5.0  # seconds
 
 
 @dataclass(slots=True)
@@ -35,25 +47,35 @@
     idempotent: bool
     attempt: int = 0
     upstream: str = ""
+    tried: set[str] = field(default_factory=set)
+    run_state: RunState = RunState.NOT_RUN
 
 
 class Calls:
     """All calls to plain services in flight on this node."""
 
-    def __init__(self, membership: Membership) -> None:
+    def __init__(
+        self,
+        membership: Membership,
+        budget: RetryBudget,
+        name: str,
+        options: RecordOptions | None = None,
+    ) -> None:
         self._membership = membership
+        self._budget = budget
+        self._pool = ServicePool(membership)
         self._routes: dict[str, ServiceRoute] = {}
-        self._services: tuple[Service, ...] = ()
         self._calls: dict[str, _Call] = {}
-        self._turn = 0
+        self.recorder = Recorder(name, options or RecordOptions())
+        self.keyed = KeyedCalls(membership, self._pool, budget, self.recorder)
 
     def __len__(self) -> int:
-        return len(self._calls)
+        return len(self._calls) + len(self.keyed)
 
     def configure(self, configuration: Configuration) -> None:
         """Take a new configuration into use."""
         self._routes = {route.name: route for route in configuration.service_routes}
-        self._services = configuration.services
+        self._pool.configure(configuration)
 
     def begin(self, event: ServiceRequested, now: float) -> list[Action]:
         """Start a caller's call."""
@@ -62,19 +84,29 @@
             problem = NotFound(f"there is no service {event.service!r}; check its name")
             return [FailAnswer(event.request, problem)]
         idempotent = event.method in route.idempotent_methods
+        self._budget.deposit()
+        if event.key is not None and not idempotent:
+            if not 0 < len(event.key) <= MAX_KEY_LENGTH:
+                message = f"an Idempotency-Key has 1 to {MAX_KEY_LENGTH} characters"
+                return [FailAnswer(event.request, InvalidRequest(message))]
+            return self.keyed.begin(event, route, now)
         call = _Call(event, route, idempotent)
         self._calls[event.request] = call
         return self._send(call, now)
 
     def cancel(self, request: str, now: float) -> list[Action]:
-        """Forget a call whose caller is gone; what was sent runs on."""
+        """Note that a caller is gone; what was sent runs on."""
+        self.keyed.cancel(request)
         return []
 
     def merge_answer(self, event: ServiceAnswered, now: float) -> list[Action]:
         """Pass a service's answer to the caller."""
-        call = self._calls.pop(event.request, None)
-        if call is None or call.attempt != event.attempt:
+        call = self._calls.get(event.request)
+        if call is None:
+            return self.keyed.merge_answer(event, now)
+        if call.attempt != event.attempt:
             return []
+        del self._calls[event.request]
         return [
             AnswerService(event.request, event.status, event.content_type, event.body)
         ]
@@ -82,44 +114,39 @@
     def merge_failure(self, event: ServiceFailed, now: float) -> list[Action]:
         """Repeat a call where that is safe, else tell what is known."""
         call = self._calls.get(event.request)
-        if call is None or call.attempt != event.attempt:
+        if call is None:
+            return self.keyed.merge_failure(event, now)
+        if call.attempt != event.attempt:
             return []
-        actions = self._membership.mark_failed(call.upstream, now)
-        not_run = isinstance(event.failure, Unreachable | Refused)
-        if (call.idempotent or not_run) and call.attempt < MAX_ATTEMPTS:
+        actions = note_failure(self._membership, call.upstream, event.failure, now)
+        not_run = is_not_run(event.failure)
+        if not not_run:
+            call.run_state = RunState.UNKNOWN
+        repeatable = call.idempotent or not_run
+        if repeatable and call.attempt < MAX_ATTEMPTS and self._budget.withdraw():
             actions.extend(self._send(call, now))
             return actions
         del self._calls[event.request]
-        if not_run or call.idempotent:
-            state = RunState.NOT_RUN if not_run else RunState.UNKNOWN
-            failed = UpstreamFailed("the service failed; send it again", state, 1.0)
-            actions.append(FailAnswer(event.request, failed))
-            return actions
-        unknown = OutcomeUnknown(
-            "the call may have run; look up its outcome before sending another",
-            RunState.UNKNOWN,
-        )
-        actions.append(FailAnswer(event.request, unknown))
+        actions.append(FailAnswer(event.request, _describe_failure(call)))
         return actions
 
+    def merge_outcome(self, event: OutcomeRead, now: float) -> list[Action]:
+        """Take in what an upstream tells about a call's outcome."""
+        return self.keyed.merge_outcome(event, now)
+
     def _send(self, call: _Call, now: float) -> list[Action]:
-        unusable = self._membership.unusable(now)
-        candidates = []
-        for service in self._services:
-            if service.service == call.event.service and service.name not in unusable:
-                candidates.append(service)
-        if not candidates:
+        service = self._pool.choose(call.event.service, call.tried, now)
+        if service is None:
             del self._calls[call.event.request]
             failed = UpstreamFailed(
                 "no upstream of this service is live; come back later",
-                RunState.NOT_RUN,
-                5.0,
+                call.run_state,
+                NO_UPSTREAM_RETRY_AFTER,
             )
             return [FailAnswer(call.event.request, failed)]
-        self._turn += 1
-        service = candidates[self._turn % len(candidates)]
         call.attempt += 1
         call.upstream = service.name
+        call.tried.add(service.name)
         fields = {
             "request": call.event.request,
             "attempt": call.attempt,
@@ -136,3 +163,13 @@
                 call.event.key,
             ),
         ]
+
+
+def _describe_failure(call: _Call) -> UpstreamFailed | OutcomeUnknown:
+    if call.idempotent or call.run_state is RunState.NOT_RUN:
+        message = "the service failed; send it again"
+        return UpstreamFailed(message, call.run_state, 1.0)
+    return OutcomeUnknown(
+        "the call may have run; look up its outcome before sending another",
+        RunState.UNKNOWN,
+    )
--- a/src/tarragonrudder/core/event.py
+++ b/src/tarragonrudder/core/event.py
@@ -117,7 +117,12 @@
     detail: str = ""
 
 
-Failure: t.TypeAlias = Unreachable | Crashed | Stalled | Refused | Malformed
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The time to send it was over: nothing was sent."""
+
+
+Failure: t.TypeAlias = Unreachable | Crashed | Stalled | Refused | Malformed | Expired
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,6 +242,23 @@
     failure: Failure
 
 
+@dataclass(frozen=True, slots=True)
+class OutcomeRead:
+    """A question for the outcome of a call ended.
+
+    Attributes
+    ----------
+    status : int or None
+        Status of the call's answer; None if the upstream does not know one.
+    """
+
+    request: str
+    upstream: str
+    status: int | None
+    content_type: str = ""
+    body: bytes = b""
+
+
 @dataclass(frozen=True, slots=True)
 class VirtualMachine:
     """An entry of the platform's list of VMs; `leaving` ones get no new work."""
@@ -409,6 +431,7 @@
     | ServiceRequested
     | ServiceAnswered
     | ServiceFailed
+    | OutcomeRead
     | VmsListed
     | NodesListed
     | ConfigurationRead
--- a/src/tarragonrudder/core/message.py
+++ b/src/tarragonrudder/core/message.py
@@ -30,9 +30,47 @@
     generation: int
 
 
+@dataclass(frozen=True, slots=True)
+class RecordSubmitted:
+    """A command for a shard of the action records, sent to its owner.
+
+    Attributes
+    ----------
+    ticket : str
+        Returned with the decision.
+    command : str
+        As ``tarragonrudder.core.record.encode_command`` writes it.
+    """
+
+    ticket: str
+    command: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordDecided:
+    """An owner's decision on a command.
+
+    Attributes
+    ----------
+    record : str
+        The record that stands, one line; empty if that is not known.
+    """
+
+    ticket: str
+    record: str
+
+
 MESSAGES: tuple[type, ...] = (
     UpstreamLeaving,
     FingerprintBlocked,
     GenerationAnnounced,
+    RecordSubmitted,
+    RecordDecided,
+)
+Message: t.TypeAlias = (
+    UpstreamLeaving
+    | FingerprintBlocked
+    | GenerationAnnounced
+    | RecordSubmitted
+    | RecordDecided
 )
-Message: t.TypeAlias = UpstreamLeaving | FingerprintBlocked | GenerationAnnounced
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tarragonrudder.core.action import (
     Action,
@@ -26,11 +26,18 @@
     Event,
     LoadReported,
     NodesListed,
+    OutcomeRead,
+    PeerLost,
     PeerReached,
+    PlatformFailed,
+    PlatformValue,
     ServiceAnswered,
     ServiceFailed,
     ServiceRequested,
     StopRequested,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
     TimerFired,
     TokensArrived,
     VmsListed,
@@ -38,9 +45,15 @@
 from tarragonrudder.core.fleet import ClientAccount, Configuration
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
-from tarragonrudder.core.message import FingerprintBlocked, UpstreamLeaving
+from tarragonrudder.core.message import (
+    FingerprintBlocked,
+    RecordDecided,
+    RecordSubmitted,
+    UpstreamLeaving,
+)
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
+from tarragonrudder.core.shard import RecordOptions
 from tarragonrudder.errors import (
     DeadlineExceeded,
     NotFound,
@@ -62,11 +75,14 @@
     balancer_lag : float
         Seconds for which the balancer may still send work after ``/readyz``
         turned false.
+    records : RecordOptions
+        Sizes of the action records' storage.
     """
 
     name: str
     data_center: str
     balancer_lag: float = 2.0
+    records: RecordOptions = field(default_factory=RecordOptions)
 
 
 class Node:
@@ -87,7 +103,7 @@
         self.answers = Answers(
             self.membership, self.selector, self.quarantine, self.budget
         )
-        self.calls = Calls(self.membership)
+        self.calls = Calls(self.membership, self.budget, options.name, options.records)
 
     @property
     def configuration(self) -> Configuration:
@@ -143,6 +159,8 @@
                 return self.calls.merge_answer(event, now)
             case ServiceFailed():
                 return self.calls.merge_failure(event, now)
+            case OutcomeRead():
+                return self.calls.merge_outcome(event, now)
             case CallerGone():
                 return self._drop(event.request, now)
             case LoadReported():
@@ -154,8 +172,19 @@
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes)
+                self.calls.recorder.set_nodes(event.nodes)
             case ConfigurationRead():
                 return self._adopt(event.configuration)
+            case (
+                PlatformValue()
+                | Swapped()
+                | SwapConflicted()
+                | SwapLost()
+                | PlatformFailed()
+            ) if event.tag.startswith("record:"):
+                return self.calls.recorder.handle_platform(event, now)
+            case PeerLost(message=message):
+                return self.calls.recorder.handle_lost(message, now)
             case PeerReached():
                 return self._hear(event, now)
             case TimerFired():
@@ -253,11 +282,17 @@
             case FingerprintBlocked() as message:
                 self.quarantine.merge(message, now)
                 return []
+            case RecordSubmitted() | RecordDecided() as message:
+                return self.calls.recorder.handle_peer(event.node, message, now)
         return self.limits.handle_peer(event.node, event.message, now)
 
     def _fire(self, timer: str, now: float) -> list[Action]:
         if timer.startswith("answer-"):
             return self.answers.fire(timer, now)
+        if timer.startswith("record-"):
+            return self.calls.recorder.fire(timer, now)
+        if timer.startswith("call-"):
+            return self.calls.keyed.fire(timer, now)
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
@@ -274,7 +309,7 @@
 
     def _settle(self, now: float) -> list[Action]:
         """End what has ended and start what may start now."""
-        actions: list[Action] = []
+        actions = self.calls.keyed.settle(now)
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
             self.admission.release(request, tokens, now)
--- /dev/null
+++ b/src/tarragonrudder/core/recorder.py
@@ -0,0 +1,215 @@
+"""Carries record commands to their shard, through its owner where possible.
+
+The owner gathers the commands of many nodes into one swap. A node that does
+not hear from the owner in time makes the swap itself; that both may write is
+safe, since each swap names the revision that it changes.
+"""
+
+import math
+import typing as t
+from dataclasses import dataclass
+
+from tarragonrudder.core.action import (
+    Action,
+    ClearTimer,
+    LogDecision,
+    SendPeer,
+    SetTimer,
+)
+from tarragonrudder.core.event import (
+    NodeAddress,
+    PlatformFailed,
+    PlatformValue,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
+)
+from tarragonrudder.core.message import RecordDecided, RecordSubmitted
+from tarragonrudder.core.ownership import find_owner
+from tarragonrudder.core.record import (
+    Command,
+    decode_command,
+    decode_record,
+    encode_command,
+    encode_record,
+)
+from tarragonrudder.core.shard import (
+    Decided,
+    Queued,
+    RecordOptions,
+    Shard,
+    find_shard,
+)
+
+KEY_PREFIX = "/tarragonrudder/records/"
+FORWARD_TIMEOUT = 0.8  # seconds for the owner's decision
+OWNER_DEADLINE = 2.0  # seconds for which an owner tries a peer's command
+AVOID_PERIOD = 5.0  # seconds without commands for an owner that did not answer
+
+PlatformEvent: t.TypeAlias = (
+    PlatformValue | Swapped | SwapConflicted | SwapLost | PlatformFailed
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Forwarded:
+    owner: str
+    queued: Queued
+
+
+class Recorder:
+    """The action records as one node reaches them."""
+
+    def __init__(self, name: str, options: RecordOptions) -> None:
+        self._name = name
+        self._options = options
+        self._nodes: tuple[str, ...] = ()
+        self._owners: dict[int, str | None] = {}
+        self._shards: dict[int, Shard] = {}
+        self._forwarded: dict[str, _Forwarded] = {}
+        self._origins: dict[str, str] = {}
+        self._avoided: dict[str, float] = {}
+        self._decided: list[Decided] = []
+
+    def set_nodes(self, nodes: t.Iterable[NodeAddress]) -> None:
+        """Replace the list of live nodes."""
+        names = tuple(sorted(node.name for node in nodes))
+        if names == self._nodes:
+            return
+        self._nodes = names
+        self._owners = {}
+        # What this node owns no more need not be kept in memory.
+        for number, shard in list(self._shards.items()):
+            if len(shard) == 0 and self._find_owner(number) != self._name:
+                del self._shards[number]
+
+    def take_decided(self) -> list[Decided]:
+        """Return what was decided since the last call."""
+        decided = self._decided
+        self._decided = []
+        return decided
+
+    def submit(
+        self, ticket: str, command: Command, deadline: float, now: float
+    ) -> list[Action]:
+        """Have a command decided; ``take_decided`` returns the outcome."""
+        queued = Queued(ticket, command, deadline)
+        number = find_shard(command.identity, self._options)
+        owner = self._find_owner(number)
+        avoided = self._avoided.get(owner or "", -math.inf) > now
+        if owner is None or owner == self._name or avoided:
+            return self._work(number, queued, now)
+        self._forwarded[ticket] = _Forwarded(owner, queued)
+        message = RecordSubmitted(ticket, encode_command(command))
+        return [
+            SendPeer(owner, message),
+            SetTimer(f"record-forward:{ticket}", now + FORWARD_TIMEOUT),
+        ]
+
+    def handle_platform(self, event: PlatformEvent, now: float) -> list[Action]:
+        """Handle the end of a read or swap that a shard asked for."""
+        shard = self._shards.get(int(event.tag.split(":")[1]))
+        if shard is None:
+            return []
+        match event:
+            case PlatformValue():
+                actions = shard.merge_value(event.tag, event.value, event.revision, now)
+            case Swapped():
+                actions = shard.merge_swapped(event.tag, event.revision, now)
+            case SwapConflicted():
+                actions = shard.merge_failure(event.tag, now, conflict=True)
+            case SwapLost() | PlatformFailed():
+                actions = shard.merge_failure(event.tag, now, conflict=False)
+        actions.extend(self._collect(shard))
+        return actions
+
+    def handle_peer(
+        self, node: str, message: RecordSubmitted | RecordDecided, now: float
+    ) -> list[Action]:
+        """Handle another node's command, or an owner's decision."""
+        match message:
+            case RecordSubmitted(ticket=ticket, command=line):
+                try:
+                    command = decode_command(line)
+                except ValueError as error:
+                    return [_log_damaged(node, error)]
+                self._origins[ticket] = node
+                number = find_shard(command.identity, self._options)
+                queued = Queued(ticket, command, now + OWNER_DEADLINE)
+                return self._work(number, queued, now)
+            case RecordDecided(ticket=ticket, record=line):
+                forwarded = self._forwarded.get(ticket)
+                if forwarded is None or forwarded.owner != node:
+                    return []
+                try:
+                    record = decode_record(line) if line else None
+                except ValueError as error:
+                    return [_log_damaged(node, error)]
+                del self._forwarded[ticket]
+                self._decided.append(Decided(ticket, record))
+                return [ClearTimer(f"record-forward:{ticket}")]
+
+    def handle_lost(self, message: object, now: float) -> list[Action]:
+        """Handle a message that could not be delivered."""
+        if isinstance(message, RecordSubmitted):
+            return self._bypass(message.ticket, now)
+        return []
+
+    def fire(self, timer: str, now: float) -> list[Action]:
+        """Handle a timer of a shard or of a forwarded command."""
+        kind, _, name = timer.partition(":")
+        if kind == "record-forward":
+            return self._bypass(name, now)
+        shard = self._shards.get(int(name))
+        if shard is None:
+            return []
+        actions = shard.advance(now)
+        actions.extend(self._collect(shard))
+        return actions
+
+    def _bypass(self, ticket: str, now: float) -> list[Action]:
+        """Do without the owner."""
+        forwarded = self._forwarded.pop(ticket, None)
+        if forwarded is None:
+            return []
+        self._avoided[forwarded.owner] = now + AVOID_PERIOD
+        number = find_shard(forwarded.queued.command.identity, self._options)
+        fields = {"shard": number, "owner": forwarded.owner}
+        actions: list[Action] = [
+            LogDecision("record_owner_bypassed", fields),
+            ClearTimer(f"record-forward:{ticket}"),
+        ]
+        actions.extend(self._work(number, forwarded.queued, now))
+        return actions
+
+    def _work(self, number: int, queued: Queued, now: float) -> list[Action]:
+        shard = self._shards.get(number)
+        if shard is None:
+            shard = Shard(number, KEY_PREFIX, self._options)
+            self._shards[number] = shard
+        shard.submit(queued)
+        actions = shard.advance(now)
+        actions.extend(self._collect(shard))
+        return actions
+
+    def _collect(self, shard: Shard) -> list[Action]:
+        actions: list[Action] = []
+        for decided in shard.take_decided():
+            origin = self._origins.pop(decided.ticket, None)
+            if origin is None:
+                self._decided.append(decided)
+                continue
+            record = decided.record
+            line = encode_record(record) if record is not None else ""
+            actions.append(SendPeer(origin, RecordDecided(decided.ticket, line)))
+        return actions
+
+    def _find_owner(self, number: int) -> str | None:
+        if number not in self._owners:
+            self._owners[number] = find_owner(f"records/{number}", self._nodes)
+        return self._owners[number]
+
+
+def _log_damaged(node: str, error: ValueError) -> LogDecision:
+    fields = {"node": node, "reason": str(error)}
+    return LogDecision("record_message_refused", fields)
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -59,7 +59,7 @@
         self._logger = logger
         self._metrics = metrics
         self._engines = EngineClient(self.post)
-        self._services = ServiceClient(self.post)
+        self._services = ServiceClient(self.post, clock.now)
         self._peers = PeerClient(name, peer_secret, metrics, self.post)
         self._outputs: dict[str, trio.MemorySendChannel[Output]] = {}
         self._inputs: dict[str, ServiceInput] = {}
@@ -125,8 +125,9 @@
                 self._cancel_attempt(action)
             case actions.CallService():
                 given = self._inputs.get(action.request)
-                if given is not None:
-                    self._spawn(self._services.call, action, given)
+                self._spawn(self._services.call, action, given)
+            case actions.ReadOutcome():
+                self._spawn(self._services.read_outcome, action)
             case actions.ProbeUpstream():
                 self._spawn(self._probe, action)
             case actions.ReadPlatform():
--- a/src/tarragonrudder/errors.py
+++ b/src/tarragonrudder/errors.py
@@ -140,6 +140,13 @@
     kind = "outcome_unknown"
 
 
+class OutcomeNotKept(Problem):
+    """A non-idempotent call has run, but its answer was too large to keep."""
+
+    status = 409
+    kind = "outcome_not_kept"
+
+
 class RouterError(Exception):
     """Base of all exceptions raised by this package."""
 
