Prove at most once by random schedules of faults; let no old view refuse

Cause: an owner whose view was old answered a command from it without a write, e.g. a doubt about a call as if another call's withdrawal stood, so that the sender claimed anew and sent twice. Broken variants: no fence, send before confirmation, retry after send, expired in flight, lost write taken as written, unknown withdrawn: caught.

--- a/src/tarragonrudder/core/keyed.py
+++ b/src/tarragonrudder/core/keyed.py
@@ -434,8 +434,10 @@
                 return self._end(call, _describe_unknown())
             case _ if call.problem is not None:
                 return self._end(call, call.problem)
-            case Withdrawn():
+            case Withdrawn() if call.attempt == 0:
                 return self._claim(call, now)
+            case Withdrawn():
+                return self._end(call, _describe_unknown())
         return self._end(call, _describe_progress())
 
     def _replay(self, call: _Call, outcome: Finished) -> list[Action]:
--- a/src/tarragonrudder/core/recorder.py
+++ b/src/tarragonrudder/core/recorder.py
@@ -93,7 +93,7 @@
         self, ticket: str, command: Command, deadline: float, now: float
     ) -> list[Action]:
         """Have a command decided; ``take_decided`` returns the outcome."""
-        queued = Queued(ticket, command, deadline)
+        queued = Queued(ticket, command, deadline, now)
         number = find_shard(command.identity, self._options)
         owner = self._find_owner(number)
         avoided = self._avoided.get(owner or "", -math.inf) > now
@@ -135,7 +135,7 @@
                     return [_log_damaged(node, error)]
                 self._origins[ticket] = node
                 number = find_shard(command.identity, self._options)
-                queued = Queued(ticket, command, now + OWNER_DEADLINE)
+                queued = Queued(ticket, command, now + OWNER_DEADLINE, now)
                 return self._work(number, queued, now)
             case RecordDecided(ticket=ticket, record=line):
                 forwarded = self._forwarded.get(ticket)
--- a/src/tarragonrudder/core/shard.py
+++ b/src/tarragonrudder/core/shard.py
@@ -5,6 +5,7 @@
 nothing. Commands that wait while a swap is under way go with the next one.
 """
 
+import math
 import zlib
 from dataclasses import dataclass, replace
 
@@ -19,12 +20,16 @@
 from tarragonrudder.core.record import (
     Claim,
     Command,
+    Finished,
+    Pending,
     Record,
+    Unknown,
     decide_record,
     encode_record,
 )
 from tarragonrudder.core.slot import Slot, decode_slot
 
+COMMIT_BURST = 4  # swaps that a quiet shard may make at once
 RETRY_DELAY = 0.25  # seconds before a failed platform call is made again
 
 
@@ -47,7 +52,7 @@
     retention : float
         Seconds for which a record is kept at least.
     commit_interval : float
-        Seconds between two swaps of a shard.
+        Mean seconds between two swaps of a busy shard.
     """
 
     shards: int = 64
@@ -69,11 +74,14 @@
         Names the decision.
     deadline : float
         When it is dropped undecided.
+    at : float
+        When it came: a view from before can't refuse it.
     """
 
     ticket: str
     command: Command
     deadline: float
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +116,10 @@
         self._swap: _Swap | None = None
         self._operation = 0
         self._resume_at = 0.0
+        self._paid_until = 0.0
+        # The view holds all that was written before this time.
+        self._complete_at = -math.inf
+        self._end_read: tuple[float, frozenset[int]] | None = None
 
     def __len__(self) -> int:
         return len(self._queue) + (self._swap is not None)
@@ -156,6 +168,7 @@
             actions.append(LogDecision("record_value_damaged", fields))
         if not self._reads:
             self._rebuild()
+            self._confirm_end()
         actions.extend(self.advance(now))
         return actions
 
@@ -172,7 +185,10 @@
         for queued, record in swap.batch:
             self._index[record.identity] = record
             self._decided.append(Decided(queued.ticket, record))
-        self._resume_at = swap.begun + self._options.commit_interval
+        self._complete_at = swap.begun
+        interval = self._options.commit_interval
+        self._paid_until = max(self._paid_until, swap.begun) + interval
+        self._resume_at = self._paid_until - COMMIT_BURST * interval
         return self.advance(now)
 
     def merge_failure(self, tag: str, now: float, conflict: bool) -> list[Action]:
@@ -235,6 +251,30 @@
         actions.append(CountMetric("records.reads", len(indexes)))
         return actions
 
+    def _read_end(self, now: float) -> list[Action]:
+        """Read the log's last content and the place of the next one again."""
+        slots = [slot for slot in self._slots if slot is not None]
+        last = max(slot.sequence for slot in slots)
+        indexes = sorted({last % len(slots), (last + 1) % len(slots)})
+        self._end_read = (now, frozenset(indexes))
+        for index in indexes:
+            self._slots[index] = None
+        return self._read(indexes)
+
+    def _confirm_end(self) -> None:
+        """Note that the view is complete, if the log's end was read."""
+        if self._end_read is None or self._find_stale():
+            return
+        begun, indexes = self._end_read
+        self._end_read = None
+        slots = [slot for slot in self._slots if slot is not None]
+        last = max(slots, key=lambda slot: slot.sequence)
+        needed = {last.sequence % len(slots)}
+        if last.sealed:
+            needed.add((last.sequence + 1) % len(slots))
+        if needed <= indexes:
+            self._complete_at = begun
+
     def _rebuild(self) -> None:
         self._index = {}
         known = [slot for slot in self._slots if slot is not None]
@@ -253,6 +293,7 @@
         written: dict[str, Record] = {}
         lines: list[str] = []
         added = 0
+        unsure: list[Queued] = []
         queue = self._queue
         self._queue = []
         for position, queued in enumerate(queue):
@@ -261,11 +302,16 @@
             record = decide_record(
                 current, queued.command, now, self._options.retention
             )
+            if record is current and identity in written:
+                batch.append((queued, record))
+                continue
             if record is current:
-                if identity in written:
-                    batch.append((queued, record))
-                else:
+                if _is_lasting(record, queued.command) or (
+                    queued.at <= self._complete_at
+                ):
                     self._decided.append(Decided(queued.ticket, record))
+                else:
+                    unsure.append(queued)
                 continue
             if full and isinstance(queued.command, Claim):
                 self._decided.append(Decided(queued.ticket, None))
@@ -279,7 +325,11 @@
             lines.append(line)
             added += len(line) + 1
             batch.append((queued, record))
+        self._queue[:0] = unsure
         actions = self._report_full(full)
+        if not batch and unsure:
+            actions.extend(self._read_end(now))
+            return actions
         if not batch:
             if self._queue:
                 self._resume_at = now + RETRY_DELAY
@@ -322,6 +372,16 @@
         return f"{self._prefix}{self._number}/{index}"
 
 
+def _is_lasting(record: Record, command: Command) -> bool:
+    """Tell whether a view, however old, suffices for this decision."""
+    match record.state:
+        case Finished() | Unknown():
+            return True
+        case Pending(writer=writer):
+            return writer == command.writer
+    return False
+
+
 def find_shard(identity: str, options: RecordOptions) -> int:
     """Return the number of the shard that holds a record."""
     return zlib.crc32(identity.encode()) % options.shards
--- /dev/null
+++ b/tests/standins/world.py
@@ -0,0 +1,419 @@
+"""Nodes, a platform and plain services on a virtual clock, with faults.
+
+Only what action records need: each action of a node is carried out by a fake
+at the core's interface, and the services keep journals to judge by.
+"""
+
+import heapq
+import random
+import typing as t
+from collections import Counter
+from dataclasses import dataclass, field
+
+from tarragonrudder.core import action as actions
+from tarragonrudder.core import event as events
+from tarragonrudder.core import fleet
+from tarragonrudder.core.node import Node, NodeOptions
+from tarragonrudder.core.shard import RecordOptions
+from tarragonrudder.errors import RunState
+
+ROUTE_TIMEOUT = 2.0  # seconds
+LINK_DELAY = 0.001  # seconds
+SMALL = RecordOptions(shards=2, slots=4, slot_bytes=4096, retention=600.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One entry of a service's journal."""
+
+    at: float
+    service: str
+    record: str
+    request: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """What a caller sent."""
+
+    at: float
+    node: str
+    account: str
+    key: str | None
+    body: str
+
+
+@dataclass(slots=True)
+class Host:
+    """One node's process."""
+
+    node: Node
+    frozen: bool = False
+    alive: bool = True
+    backlog: list[t.Callable[[], None]] = field(default_factory=list)
+    timers: dict[str, float] = field(default_factory=dict)
+
+
+class World:
+    """Hosts, platform and services.
+
+    ``platform_fates`` and ``service_fates`` are taken one a call: ``ok`` when
+    they are used up. Fates of a swap: ``down`` (nothing written), ``lost``
+    (written, no answer), ``dropped`` (not written, no answer), ``late``
+    (no answer, written a second later if the revision still fits), ``slow``.
+    Fates of a call: ``before`` and ``after`` (crash before and after running),
+    ``late`` (runs after the caller gave up), ``refuse``, ``unreachable``.
+    """
+
+    def __init__(
+        self,
+        count: int = 3,
+        options: RecordOptions = SMALL,
+        outcome_path: str | None = None,
+        services: int = 2,
+        fenced: bool = True,
+    ) -> None:
+        self.now = 1000.0
+        self.options = options
+        self.fenced = fenced
+        self.values: dict[str, tuple[bytes, int]] = {}
+        self.revision = 0
+        self.platform_delay = 0.002
+        self.platform_down = False
+        self.platform_fates: list[str] = []
+        self.service_fates: list[str] = []
+        self.service_delay = 0.02
+        self.answer_body = b""
+        self.peers_cut = False
+        self.counts: Counter[str] = Counter()
+        self.journal: list[Run] = []
+        self.sent: dict[str, Sent] = {}
+        self.answers: dict[str, tuple[float, actions.Action]] = {}
+        self.logs: list[actions.LogDecision] = []
+        self.trap: t.Callable[[str, actions.Action], bool] | None = None
+        self._heap: list[tuple[float, int, t.Callable[[], None]]] = []
+        self._order = 0
+        names = [f"node-{index}" for index in range(count)]
+        self._listed = tuple(events.NodeAddress(name, name, "mi-1") for name in names)
+        self.configuration = _make_configuration(services, outcome_path)
+        self.hosts: dict[str, Host] = {}
+        for name in names:
+            self.replace(name)
+
+    def replace(self, name: str) -> None:
+        """Start an empty node under a name, in the place of any before it."""
+        if name in self.hosts:
+            self.hosts[name].alive = False
+        options = NodeOptions(name, "mi-1", records=self.options)
+        host = Host(Node(options, random.Random(1)))
+        self.hosts[name] = host
+        self._carry_out(host, name, host.node.start(self.now))
+        self.post(name, events.ConfigurationRead(self.configuration))
+        self.post(name, events.NodesListed(self._listed))
+
+    def list_nodes(self, names: t.Iterable[str]) -> None:
+        """Tell all nodes which nodes are alive."""
+        listed = tuple(events.NodeAddress(name, name, "mi-1") for name in names)
+        self._listed = listed
+        for name in self.hosts:
+            self.post(name, events.NodesListed(listed))
+
+    def kill(self, name: str) -> None:
+        """End a node at once."""
+        self.hosts[name].alive = False
+
+    def freeze(self, name: str) -> None:
+        """Pause a node: what comes to it waits."""
+        self.hosts[name].frozen = True
+
+    def wake(self, name: str) -> None:
+        """Let a paused node go on."""
+        host = self.hosts[name]
+        host.frozen = False
+        backlog, host.backlog = host.backlog, []
+        for item in backlog:
+            if host.frozen:
+                host.backlog.append(item)
+                continue
+            item()
+
+    def send(
+        self,
+        node: str,
+        key: str | None,
+        body: str = "a",
+        account: str = "courts",
+        method: str = "POST",
+    ) -> str:
+        """Let a caller call the service; return the request's name."""
+        request = f"call-{len(self.sent)}"
+        self.sent[request] = Sent(self.now, node, account, key, body)
+        event = events.ServiceRequested(
+            request, account, "register", method, "/excusals", body, key
+        )
+        self.post(node, event)
+        return request
+
+    def post(self, name: str, event: events.Event) -> None:
+        """Give a node an event, now or when it is woken."""
+        host = self.hosts[name]
+
+        def handle() -> None:
+            if host.alive:
+                decided = host.node.handle(event, self.now)
+                self._carry_out(host, name, decided)
+
+        self._run_on(host, handle)
+
+    def at(self, when: float, function: t.Callable[[], None]) -> None:
+        """Call a function at a time."""
+        self._order += 1
+        heapq.heappush(self._heap, (when, self._order, function))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, function = heapq.heappop(self._heap)
+            function()
+        self.now = end
+
+    def kind(self, request: str) -> str:
+        """Return a caller's answer in one word, such as ``201`` or a kind."""
+        found = self.answers.get(request)
+        if found is None:
+            return "none"
+        match found[1]:
+            case actions.AnswerService(status=status, replayed=replayed):
+                return f"{status} replayed" if replayed else str(status)
+            case actions.FailAnswer(problem=problem):
+                return f"{problem.kind} {problem.run_state.value}"
+        raise AssertionError(found)
+
+    def count_runs(self, key: str, account: str = "courts") -> int:
+        """Return how often calls with a key ran, by the journals."""
+        count = 0
+        for run in self.journal:
+            sent = self.sent[run.request]
+            count += (sent.account, sent.key) == (account, key)
+        return count
+
+    def judge(self) -> None:
+        """Raise if a promise was broken, by the journals alone."""
+        runs: dict[tuple[str, str], list[Run]] = {}
+        for run in self.journal:
+            sent = self.sent[run.request]
+            if sent.key is not None:
+                runs.setdefault((sent.account, sent.key), []).append(run)
+        for key, found in runs.items():
+            assert len(found) <= 1, f"{key} ran {len(found)} times: {found}"
+        ran = Counter(run.request for run in self.journal)
+        for request, (_, answer) in self.answers.items():
+            sent = self.sent[request]
+            match answer:
+                case actions.FailAnswer(problem=problem):
+                    if problem.run_state is RunState.NOT_RUN:
+                        assert ran[request] == 0, f"{request} ran, but {problem}"
+                case actions.AnswerService(body=body) if sent.key is not None:
+                    (run,) = runs[(sent.account, sent.key)]
+                    assert body == run.body, f"{request} got another answer"
+        for request, count in ran.items():
+            assert count == 1 or self.sent[request].key is None, request
+
+    def _run_on(self, host: Host, function: t.Callable[[], None]) -> None:
+        if host.frozen:
+            host.backlog.append(function)
+            return
+        function()
+
+    def _carry_out(self, host: Host, name: str, decided: list[actions.Action]) -> None:
+        for action in decided:
+            if not host.frozen and self.trap is not None and self.trap(name, action):
+                self.trap = None
+                self.freeze(name)
+
+            def perform(action: actions.Action = action) -> None:
+                if host.alive:
+                    self._perform(host, name, action)
+
+            self._run_on(host, perform)
+
+    def _perform(self, host: Host, name: str, action: actions.Action) -> None:
+        match action:
+            case actions.SetTimer():
+                self._set_timer(host, name, action)
+            case actions.ClearTimer(timer=timer):
+                host.timers.pop(timer, None)
+            case actions.SwapPlatform():
+                self._swap(name, action)
+            case actions.ReadPlatform():
+                self._read(name, action)
+            case actions.SendPeer():
+                self._send_peer(name, action)
+            case actions.CallService():
+                self._call(name, action)
+            case actions.ReadOutcome():
+                self._tell_outcome(name, action)
+            case actions.AnswerService() | actions.FailAnswer():
+                assert action.request not in self.answers, "answered twice"
+                self.answers[action.request] = (self.now, action)
+            case actions.LogDecision():
+                self.logs.append(action)
+
+    def _set_timer(self, host: Host, name: str, action: actions.SetTimer) -> None:
+        host.timers[action.timer] = action.at
+
+        def fire() -> None:
+            if host.timers.get(action.timer) == action.at and host.alive:
+                del host.timers[action.timer]
+                if self.hosts[name] is host:
+                    self.post(name, events.TimerFired(action.timer))
+
+        self.at(max(action.at, self.now), fire)
+
+    def _reply(self, name: str, host: Host, event: events.Event, delay: float) -> None:
+        def deliver() -> None:
+            if self.hosts[name] is host:
+                self.post(name, event)
+
+        self.at(self.now + delay, deliver)
+
+    def _swap(self, name: str, action: actions.SwapPlatform) -> None:
+        self.counts["writes"] += 1
+        self.counts["write_bytes"] += len(action.value)
+        host = self.hosts[name]
+        fate = self._take_fate(self.platform_fates)
+        failed = events.PlatformFailed(action.tag, action.key)
+        lost = events.SwapLost(action.tag, action.key)
+        if fate == "down":
+            self._reply(name, host, failed, self.platform_delay)
+            return
+        if fate == "dropped":
+            self._reply(name, host, lost, 1.0)
+            return
+        lag = {"late": 2.0, "slow": 0.9}.get(fate, self.platform_delay / 2)
+
+        def land() -> None:
+            _, revision = self.values.get(action.key, (b"", 0))
+            matched = revision == action.expected or not self.fenced
+            if matched:
+                self.revision += 1
+                self.values[action.key] = (action.value, self.revision)
+            if fate in ("lost", "late"):
+                return
+            if matched:
+                event: events.Event = events.Swapped(
+                    action.tag, action.key, self.revision
+                )
+            else:
+                self.counts["conflicts"] += 1
+                event = events.SwapConflicted(action.tag, action.key)
+            self._reply(name, host, event, self.platform_delay / 2)
+
+        self.at(self.now + lag, land)
+        if fate in ("lost", "late"):
+            self._reply(name, host, lost, 1.0)
+
+    def _read(self, name: str, action: actions.ReadPlatform) -> None:
+        self.counts["reads"] += 1
+        host = self.hosts[name]
+        if self._take_fate([]) == "down":
+            failed = events.PlatformFailed(action.tag, action.key)
+            self._reply(name, host, failed, self.platform_delay)
+            return
+
+        def look_up() -> None:
+            value, revision = self.values.get(action.key, (None, 0))
+            event = events.PlatformValue(action.tag, action.key, value, revision)
+            self._reply(name, host, event, self.platform_delay / 2)
+
+        self.at(self.now + self.platform_delay / 2, look_up)
+
+    def _take_fate(self, fates: list[str]) -> str:
+        if self.platform_down:
+            return "down"
+        return fates.pop(0) if fates else "ok"
+
+    def _send_peer(self, name: str, action: actions.SendPeer) -> None:
+        self.counts["peer_messages"] += 1
+        target = self.hosts.get(action.node)
+        if self.peers_cut or target is None or not target.alive:
+            lost = events.PeerLost(action.node, action.message)
+            self._reply(name, self.hosts[name], lost, LINK_DELAY)
+            return
+        event = events.PeerReached(name, action.message)
+        self._reply(action.node, target, event, LINK_DELAY)
+
+    def _call(self, name: str, action: actions.CallService) -> None:
+        host = self.hosts[name]
+        request, attempt = action.request, action.attempt
+
+        def fail(failure: events.Failure, delay: float) -> None:
+            event = events.ServiceFailed(request, attempt, failure)
+            self._reply(name, host, event, delay)
+
+        if self.now >= action.send_by:
+            fail(events.Expired(), 0.0)
+            return
+        fate = self.service_fates.pop(0) if self.service_fates else "ok"
+        match fate:
+            case "unreachable":
+                fail(events.Unreachable(), LINK_DELAY)
+                return
+            case "refuse":
+                fail(events.Refused(), LINK_DELAY)
+                return
+            case "before":
+                fail(events.Crashed(), LINK_DELAY)
+                return
+        delay = self.service_delay
+        if fate == "late":
+            delay = action.timeout + 1.0
+            fail(events.Stalled(), action.timeout)
+
+        def run() -> None:
+            number = len(self.journal)
+            body = b"run %d" % number + self.answer_body
+            entry = Run(self.now, action.upstream, action.record or "", request, body)
+            self.journal.append(entry)
+            if fate == "late":
+                return
+            if fate == "after":
+                fail(events.Crashed(), LINK_DELAY)
+                return
+            answer = events.ServiceAnswered(
+                request, attempt, 201, "application/json", body
+            )
+            self._reply(name, host, answer, LINK_DELAY)
+
+        self.at(self.now + delay, run)
+
+    def _tell_outcome(self, name: str, action: actions.ReadOutcome) -> None:
+        event = events.OutcomeRead(action.request, action.upstream, None)
+        for run in self.journal:
+            if run.record == action.record and run.service == action.upstream:
+                event = events.OutcomeRead(
+                    action.request, action.upstream, 201, "application/json", run.body
+                )
+        self._reply(name, self.hosts[name], event, LINK_DELAY)
+
+
+def _make_configuration(count: int, outcome_path: str | None) -> fleet.Configuration:
+    services = []
+    for index in range(count):
+        services.append(
+            fleet.Service(
+                f"register-{index}", "http://x", "mi-1", "register", outcome_path
+            )
+        )
+    accounts = []
+    for name in ("courts", "clerks"):
+        accounts.append(fleet.ClientAccount(name, (), 1e6, 1e6))
+    return fleet.Configuration(
+        1,
+        "digest",
+        services=tuple(services),
+        accounts=tuple(accounts),
+        service_routes=(fleet.ServiceRoute("register", timeout=ROUTE_TIMEOUT),),
+    )
--- /dev/null
+++ b/tests/test_call.py
@@ -0,0 +1,457 @@
+import typing as t
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonrudder.core import keyed as keyed_module
+from tarragonrudder.core import pool, record
+from tarragonrudder.core.action import CallService
+from tarragonrudder.core.event import CallerGone
+from tarragonrudder.core.keyed import KeyedCalls
+from tarragonrudder.core.shard import RecordOptions, Shard
+from tests.standins.world import SMALL, World
+
+LONG = 60.0  # seconds, beyond the time for which a call may stay pending
+NOT_SENT = "platform_unavailable not_run"
+UNKNOWN = "outcome_unknown unknown"
+IN_PROGRESS = "idempotency_key_in_progress unknown"
+
+
+def test_resend_through_another_node_gets_the_recorded_answer() -> None:
+    world = World()
+    first = world.send("node-0", "k")
+    world.run(1.0)
+    second = world.send("node-1", "k")
+    world.run(1.0)
+    assert (world.kind(first), world.kind(second)) == ("201", "201 replayed")
+    assert world.count_runs("k") == 1
+    world.judge()
+
+
+@pytest.mark.parametrize(
+    ("account", "body", "kind", "runs"),
+    [
+        ("courts", "b", "idempotency_key_conflict not_run", 1),
+        ("clerks", "a", "201", 2),
+        ("clerks", "b", "201", 2),
+    ],
+)
+def test_keys_are_apart_by_account(
+    account: str, body: str, kind: str, runs: int
+) -> None:
+    world = World()
+    world.send("node-0", "k")
+    world.run(1.0)
+    second = world.send("node-1", "k", body, account)
+    world.run(1.0)
+    assert world.kind(second) == kind
+    assert len(world.journal) == runs
+    world.judge()
+
+
+@pytest.mark.parametrize("key", ["", "x" * 256])
+def test_bad_key_is_refused(key: str) -> None:
+    world = World()
+    request = world.send("node-0", key)
+    assert world.kind(request) == "invalid_request_error not_run"
+
+
+@pytest.mark.parametrize(
+    ("delay", "kind"), [(0.5, "201 replayed"), (1.9, "201 replayed")]
+)
+def test_resend_waits_briefly_for_the_first(delay: float, kind: str) -> None:
+    world = World()
+    world.service_delay = delay
+    first = world.send("node-0", "k")
+    second = world.send("node-1", "k")
+    world.run(10.0)
+    kinds = {world.kind(first), world.kind(second)}
+    assert kinds == {"201", kind}
+    world.judge()
+
+
+def test_resend_during_a_long_call_is_told_so() -> None:
+    world = World()
+    world.service_fates = ["late"]
+    world.send("node-0", "k")
+    world.run(0.1)
+    second = world.send("node-1", "k")
+    world.run(1.8)
+    assert world.kind(second) == "none"
+    world.run(0.6)
+    assert world.kind(second) in (IN_PROGRESS, UNKNOWN)
+    world.run(LONG)
+    world.judge()
+
+
+@pytest.mark.parametrize(
+    ("fates", "method", "key", "kind", "runs"),
+    [
+        (["unreachable"], "POST", "k", "201", 1),
+        (["refuse"], "POST", "k", "201", 1),
+        (["refuse", "refuse"], "POST", "k", "upstream_failed not_run", 0),
+        (["before"], "POST", "k", UNKNOWN, 0),
+        (["after"], "POST", "k", UNKNOWN, 1),
+        (["late"], "POST", "k", UNKNOWN, 1),
+        (["unreachable"], "POST", None, "201", 1),
+        (["refuse"], "POST", None, "201", 1),
+        (["after"], "POST", None, UNKNOWN, 1),
+        (["late"], "POST", None, UNKNOWN, 1),
+        (["after"], "GET", None, "201", 2),
+        (["after"], "GET", "k", "201", 2),
+        (["before"], "GET", None, "201", 1),
+        (["before", "before"], "GET", None, "upstream_failed unknown", 0),
+    ],
+)
+def test_upstream_failures(
+    fates: list[str], method: str, key: str | None, kind: str, runs: int
+) -> None:
+    world = World()
+    world.service_fates = list(fates)
+    request = world.send("node-0", key, method=method)
+    world.run(LONG)
+    assert world.kind(request) == kind
+    assert len(world.journal) == runs
+    if method == "POST":
+        world.judge()
+
+
+@pytest.mark.parametrize("fate", ["after", "late"])
+def test_outcome_is_asked_where_the_upstream_tells_it(fate: str) -> None:
+    world = World(outcome_path="/outcomes/{key}")
+    world.service_fates = [fate]
+    first = world.send("node-0", "k")
+    world.run(10.0)
+    second = world.send("node-1", "k")
+    world.run(10.0)
+    assert world.kind(first) in ("201", "201 replayed")
+    assert world.kind(second) == "201 replayed"
+    world.judge()
+
+
+def test_unknown_is_final() -> None:
+    world = World()
+    world.service_fates = ["after"]
+    kinds = []
+    for node in ("node-0", "node-1", "node-2", "node-0"):
+        request = world.send(node, "k")
+        world.run(LONG)
+        kinds.append(world.kind(request))
+    assert kinds == [UNKNOWN] * 4
+    assert world.count_runs("k") == 1
+
+
+def test_large_answer_is_not_kept() -> None:
+    world = World()
+    world.answer_body = b"x" * 5000
+    first = world.send("node-0", "k")
+    world.run(1.0)
+    second = world.send("node-1", "k")
+    world.run(1.0)
+    assert (world.kind(first), world.kind(second)) == ("201", "outcome_not_kept run")
+
+
+def test_retries_keep_to_the_budget() -> None:
+    world = World(services=3)
+    world.service_fates = ["refuse"] * 200
+    for index in range(100):
+        world.send("node-0", f"k{index}")
+        world.run(6.0)
+    # 10 retries at once and one for each ten first attempts.
+    assert 100 <= 200 - len(world.service_fates) <= 120
+
+
+def test_caller_gone_in_mid_call_is_recorded() -> None:
+    world = World()
+    world.service_delay = 1.0
+    first = world.send("node-0", "k")
+    world.run(0.5)
+    world.post("node-0", CallerGone(first))
+    world.run(5.0)
+    second = world.send("node-1", "k")
+    world.run(5.0)
+    assert world.kind(second) == "201 replayed"
+    world.judge()
+
+
+def test_caller_gone_before_the_send_frees_the_key() -> None:
+    world = World()
+    world.platform_fates = ["slow"]
+    first = world.send("node-0", "k")
+    world.run(0.1)
+    world.post("node-0", CallerGone(first))
+    world.run(5.0)
+    assert world.count_runs("k") == 0
+    second = world.send("node-1", "k")
+    world.run(5.0)
+    assert world.kind(second) == "201"
+    world.judge()
+
+
+@pytest.mark.parametrize("wake_after", [0.5, 4.0, 45.0, 120.0])
+def test_node_frozen_between_intent_and_send(wake_after: float) -> None:
+    world = World()
+    world.trap = lambda name, action: isinstance(action, CallService)
+    first = world.send("node-0", "k")
+    world.run(0.2)
+    seconds = []
+    for delay in (0.0, 30.0):
+        world.at(world.now + delay, lambda: seconds.append(world.send("node-1", "k")))
+    world.at(world.now + wake_after, lambda: world.wake("node-0"))
+    world.run(200.0)
+    last = world.send("node-2", "k")
+    world.run(LONG)
+    world.judge()
+    kinds = [world.kind(request) for request in (first, *seconds, last)]
+    if wake_after == 0.5:
+        assert kinds == ["201", "201 replayed", "201 replayed", "201 replayed"]
+    elif wake_after == 4.0:
+        assert kinds == [kinds[0], IN_PROGRESS, "201", "201 replayed"]
+        assert kinds[0].endswith("not_run")
+    else:
+        assert kinds[0] == UNKNOWN
+        assert kinds[1:] == [IN_PROGRESS, UNKNOWN, UNKNOWN]
+
+
+def test_platform_outage_refuses_and_frees_the_key() -> None:
+    world = World()
+    world.platform_down = True
+    first = world.send("node-0", "k")
+    world.run(5.0)
+    assert world.kind(first) == NOT_SENT
+    world.platform_down = False
+    world.run(5.0)
+    second = world.send("node-1", "k")
+    world.run(5.0)
+    assert world.kind(second) == "201"
+    world.judge()
+
+
+def test_intent_written_just_before_an_outage_is_withdrawn_after_it() -> None:
+    world = World()
+    world.platform_fates = ["lost"]
+    first = world.send("node-0", "k")
+    world.run(0.5)
+    world.platform_down = True
+    world.run(5.0)
+    assert world.kind(first) == NOT_SENT
+    world.platform_down = False
+    world.run(5.0)
+    second = world.send("node-1", "k")
+    world.run(5.0)
+    assert world.kind(second) == "201"
+    world.judge()
+
+
+def test_outage_before_the_outcome_is_written() -> None:
+    world = World()
+    world.service_delay = 0.5
+    first = world.send("node-0", "k")
+    world.run(0.2)
+    world.platform_down = True
+    world.run(5.0)
+    assert world.kind(first) == "201"
+    world.platform_down = False
+    world.run(5.0)
+    second = world.send("node-1", "k")
+    world.run(5.0)
+    assert world.kind(second) == "201 replayed"
+    world.judge()
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault at a time; `index` picks the node."""
+
+    at: float
+    kind: str
+    index: int
+
+
+SENDS = st.lists(
+    st.tuples(
+        st.floats(0, 20),
+        st.integers(0, 2),
+        st.sampled_from("kl"),
+        st.sampled_from("ab"),
+    ),
+    min_size=1,
+    max_size=8,
+)
+FAULTS = st.lists(
+    st.builds(
+        Fault,
+        st.floats(0, 25),
+        st.sampled_from(
+            ["kill", "replace", "freeze", "wake", "down", "up", "cut", "joined"]
+            + ["views differ"]
+        ),
+        st.integers(0, 2),
+    ),
+    max_size=8,
+)
+SWAPS = st.lists(
+    st.sampled_from(["ok", "ok", "down", "lost", "dropped", "late", "slow"]),
+    max_size=14,
+)
+RUNS = st.lists(
+    st.sampled_from(["ok", "before", "after", "late", "refuse", "unreachable"]),
+    max_size=5,
+)
+
+
+def apply_fault(world: World, fault: Fault) -> None:
+    name = f"node-{fault.index}"
+    match fault.kind:
+        case "kill":
+            world.kill(name)
+        case "replace":
+            world.replace(name)
+        case "freeze":
+            world.freeze(name)
+        case "wake":
+            world.wake(name)
+        case "down" | "up":
+            world.platform_down = fault.kind == "down"
+        case "cut" | "joined":
+            world.peers_cut = fault.kind == "cut"
+        case "views differ":
+            world.list_nodes([name])
+
+
+def run_schedule(
+    sends: t.Any,
+    faults: list[Fault],
+    swaps: list[str],
+    runs: list[str],
+    delay: float,
+    asks: bool,
+    options: RecordOptions = SMALL,
+    fenced: bool = True,
+) -> World:
+    path = "/outcomes/{key}" if asks else None
+    world = World(options=options, outcome_path=path, fenced=fenced)
+    world.service_delay = delay
+    world.platform_fates = list(swaps)
+    world.service_fates = list(runs)
+    for fault in faults:
+        world.at(world.now + fault.at, lambda fault=fault: apply_fault(world, fault))
+    for at, index, key, body in sends:
+        world.at(
+            world.now + at,
+            lambda index=index, key=key, body=body: world.send(
+                f"node-{index}", key, body
+            ),
+        )
+    world.run(30.0)
+    for index in range(3):
+        world.wake(f"node-{index}")
+    world.platform_down = False
+    world.run(90.0)
+    return world
+
+
+SCHEDULE = dict(
+    sends=SENDS,
+    faults=FAULTS,
+    swaps=SWAPS,
+    runs=RUNS,
+    delay=st.sampled_from([0.01, 0.5, 1.5]),
+    asks=st.booleans(),
+)
+
+
+@settings(max_examples=400)
+@given(**SCHEDULE)
+def test_any_schedule_runs_each_key_at_most_once(
+    sends: t.Any,
+    faults: list[Fault],
+    swaps: list[str],
+    runs: list[str],
+    delay: float,
+    asks: bool,
+) -> None:
+    world = run_schedule(sends, faults, swaps, runs, delay, asks)
+    world.judge()
+    # Every caller whose node lives on is answered.
+    for request, sent in world.sent.items():
+        lost = any(
+            fault.kind in ("kill", "replace") and f"node-{fault.index}" == sent.node
+            for fault in faults
+        )
+        assert lost or request in world.answers, request
+
+
+def _claim_unconfirmed(self: KeyedCalls, call: t.Any, now: float) -> list[t.Any]:
+    actions = CLAIM(self, call, now)
+    if call.phase is keyed_module._Phase.CLAIMING and call.step == 1:
+        actions.extend(self._send(call, now))
+    return actions
+
+
+def _merge_lost_as_written(
+    self: Shard, tag: str, now: float, conflict: bool
+) -> list[t.Any]:
+    if conflict or tag in self._reads:
+        return MERGE_FAILURE(self, tag, now, conflict)
+    return self.merge_swapped(tag, 0, now)
+
+
+def _withdraw_unknown(
+    current: record.Record | None, command: record.Command, now: float, retention: float
+) -> record.Record:
+    if isinstance(command, record.Doubt):
+        state = record.Withdrawn(command.writer)
+        return record.Record(command.identity, command.digest, now, state)
+    return DECIDE(current, command, now, retention)
+
+
+CLAIM = KeyedCalls._claim
+MERGE_FAILURE = Shard.merge_failure
+DECIDE = record.decide_record
+ONE_SEND = [(0.0, 0, "k", "a"), (0.0, 1, "k", "a"), (6.0, 2, "k", "a")]
+SHORT = RecordOptions(shards=2, slots=4, slot_bytes=4096, retention=0.5)
+VIEWS = [Fault(0.0, "cut", 0)]
+
+
+@pytest.mark.parametrize(
+    "variant",
+    ["no fence", "unconfirmed", "retry after send", "expired in flight"]
+    + ["lost write taken as written", "unknown withdrawn"],
+)
+def test_broken_variant_is_caught(
+    variant: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    options, fenced = SMALL, True
+    sends, faults, swaps, runs, delay = ONE_SEND, VIEWS, [], [], 0.01
+    match variant:
+        case "no fence":
+            fenced = False
+        case "unconfirmed":
+            monkeypatch.setattr(KeyedCalls, "_claim", _claim_unconfirmed)
+        case "retry after send":
+            monkeypatch.setattr(keyed_module, "is_not_run", lambda failure: True)
+            runs = ["after"]
+        case "expired in flight":
+            options, delay, sends = SHORT, 1.5, [*ONE_SEND, (1.0, 2, "k", "a")]
+        case "lost write taken as written":
+            monkeypatch.setattr(Shard, "merge_failure", _merge_lost_as_written)
+            swaps = ["dropped"]
+        case "unknown withdrawn":
+            monkeypatch.setattr(
+                "tarragonrudder.core.shard.decide_record", _withdraw_unknown
+            )
+            runs = ["after"]
+    world = run_schedule(sends, faults, swaps, runs, delay, False, options, fenced)
+    with pytest.raises(AssertionError, match="ran|answer"):
+        world.judge()
+
+
+def test_schedules_of_the_variants_pass_with_all_mechanisms() -> None:
+    assert pool.is_not_run is keyed_module.is_not_run
+    for swaps, runs, delay in ([], [], 0.01), ([], ["after"], 0.01), ([], [], 1.5):
+        world = run_schedule(ONE_SEND, VIEWS, swaps, runs, delay, False)
+        world.judge()
+    run_schedule(ONE_SEND, VIEWS, ["dropped"], [], 0.01, False).judge()
--- /dev/null
+++ b/tests/test_shard.py
@@ -0,0 +1,208 @@
+import pytest
+
+from tarragonrudder.core.action import Action, ReadPlatform, SwapPlatform
+from tarragonrudder.core.record import (
+    Claim,
+    Finish,
+    Finished,
+    Pending,
+    Record,
+    Withdraw,
+    encode_record,
+)
+from tarragonrudder.core.shard import Decided, Queued, RecordOptions, Shard
+from tarragonrudder.core.slot import Slot, decode_slot
+
+DONE = Finished(201, "", b"")
+OPTIONS = RecordOptions(
+    shards=1, slots=3, slot_bytes=300, retention=50.0, commit_interval=0.0
+)
+
+
+class Values:
+    """The platform's values, with writes that are held back on demand."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[bytes, int]] = {}
+        self.revision = 0
+        self.held: list[SwapPlatform] = []
+        self.hold = False
+
+    def write(self, action: SwapPlatform) -> int | None:
+        if self.values.get(action.key, (b"", 0))[1] != action.expected:
+            return None
+        self.revision += 1
+        self.values[action.key] = (action.value, self.revision)
+        return self.revision
+
+    def serve(self, shard: Shard, actions: list[Action], now: float) -> list[Decided]:
+        """Carry out actions until nothing is left; return what was decided."""
+        pending = list(actions)
+        while pending:
+            action = pending.pop(0)
+            match action:
+                case ReadPlatform(tag=tag, key=key):
+                    value, revision = self.values.get(key, (None, 0))
+                    pending += shard.merge_value(tag, value, revision, now)
+                case SwapPlatform() if self.hold:
+                    self.hold = False
+                    self.held.append(action)
+                    pending += shard.merge_failure(action.tag, now, conflict=False)
+                case SwapPlatform():
+                    written = self.write(action)
+                    if written is None:
+                        pending += shard.merge_failure(action.tag, now, conflict=True)
+                    else:
+                        pending += shard.merge_swapped(action.tag, written, now)
+        return shard.take_decided()
+
+    def do(self, shard: Shard, command: object, now: float) -> Record | None:
+        """Have one command decided."""
+        shard.submit(Queued("ticket", command, now + 9.0, now))  # type: ignore[arg-type]
+        decided = self.serve(shard, shard.advance(now), now)
+        if not decided:
+            decided = self.serve(shard, shard.advance(now + 1.0), now + 1.0)
+        (item,) = [item for item in decided if item.ticket == "ticket"]
+        return item.record
+
+
+def claim(key: str, writer: str) -> Claim:
+    return Claim(key, "digest", writer)
+
+
+def test_second_shard_sees_the_first_ones_claim() -> None:
+    values = Values()
+    first, second = Shard(0, "/r/", OPTIONS), Shard(0, "/r/", OPTIONS)
+    assert values.do(first, claim("k", "a"), 100.0).state == Pending("a")
+    assert values.do(second, claim("k", "b"), 100.0).state == Pending("a")
+
+
+def test_stale_view_conflicts_and_is_read_again() -> None:
+    values = Values()
+    first, second = Shard(0, "/r/", OPTIONS), Shard(0, "/r/", OPTIONS)
+    values.do(first, claim("x", "a"), 100.0)
+    values.do(second, claim("y", "b"), 100.0)
+    assert values.do(first, claim("y", "a"), 100.0).state == Pending("b")
+
+
+def test_stale_view_finds_the_log_gone_on() -> None:
+    values = Values()
+    first, second = Shard(0, "/r/", OPTIONS), Shard(0, "/r/", OPTIONS)
+    values.do(first, claim("x", "a"), 100.0)
+    for index in range(8):
+        values.do(second, claim(f"y{index}", "b"), 101.0 + index)
+    assert values.do(first, claim("y5", "a"), 110.0).state == Pending("b")
+
+
+@pytest.mark.parametrize("lands", ["never", "before the next", "after the next"])
+def test_late_landing_changes_nothing(lands: str) -> None:
+    values = Values()
+    first, second = Shard(0, "/r/", OPTIONS), Shard(0, "/r/", OPTIONS)
+    values.do(first, claim("x", "a"), 100.0)
+    values.do(second, claim("x", "b"), 100.0)
+    values.hold = True
+    first.submit(Queued("t1", claim("k", "a"), 100.1, 100.0))
+    values.serve(first, first.advance(100.0), 100.0)
+    (held,) = values.held
+    if lands == "before the next":
+        assert values.write(held) is not None
+    other = values.do(second, claim("k", "b"), 100.0)
+    if lands == "after the next":
+        assert values.write(held) is None
+    expected = "a" if lands == "before the next" else "b"
+    assert other.state == Pending(expected)
+    assert values.do(first, claim("k", "a"), 101.0).state == Pending(expected)
+
+
+@pytest.mark.parametrize("command", [claim("k", "c"), Finish("k", "digest", "b", DONE)])
+def test_old_view_refuses_nothing(command: Claim | Finish) -> None:
+    """An old owner holds the key as withdrawn, while another claimed it."""
+    values = Values()
+    first, second = Shard(0, "/r/", OPTIONS), Shard(0, "/r/", OPTIONS)
+    values.do(first, claim("k", "c"), 100.0)
+    values.do(first, Withdraw("k", "digest", "c"), 100.0)
+    values.do(second, claim("k", "b"), 101.0)
+    for index in range(6):
+        values.do(second, claim(f"fill-{index}", "b"), 101.0)
+    record = values.do(first, command, 102.0)
+    expected = DONE if isinstance(command, Finish) else Pending("b")
+    assert record.state == expected
+
+
+def test_withdrawal_fences_a_claim_that_lands_late() -> None:
+    values = Values()
+    first, second = Shard(0, "/r/", OPTIONS), Shard(0, "/r/", OPTIONS)
+    values.hold = True
+    first.submit(Queued("t1", claim("k", "a"), 100.1, 100.0))
+    values.serve(first, first.advance(100.0), 100.0)
+    values.do(second, Withdraw("k", "digest", "a"), 101.0)
+    assert values.write(values.held[0]) is None
+    assert values.do(second, claim("k", "b"), 102.0).state == Pending("b")
+
+
+def test_commands_share_a_swap() -> None:
+    values = Values()
+    shard = Shard(0, "/r/", OPTIONS)
+    for index in range(3):
+        shard.submit(Queued(f"t{index}", claim(f"k{index}", "a"), 200.0, 100.0))
+    shard.submit(Queued("t3", claim("k0", "b"), 200.0, 100.0))
+    decided = values.serve(shard, shard.advance(100.0), 100.0)
+    assert values.revision == 1
+    states = {item.ticket: item.record.state for item in decided if item.record}
+    assert states["t0"] == states["t3"] == Pending("a")
+
+
+def fill(values: Values, shard: Shard, now: float) -> int:
+    for index in range(100):
+        if values.do(shard, claim(f"fill-{now}-{index}", "a"), now) is None:
+            return index
+    raise AssertionError("the ring never fills")
+
+
+def test_full_ring_refuses_claims_and_evicts_nothing_live() -> None:
+    values = Values()
+    shard = Shard(0, "/r/", OPTIONS)
+    count = fill(values, shard, 100.0)
+    assert count > 3
+    finish = Finish("fill-100.0-0", "digest", "a", DONE)
+    assert values.do(shard, finish, 120.0).state == DONE
+    other = Shard(0, "/r/", OPTIONS)
+    for index in range(1, count):
+        record = values.do(other, claim(f"fill-100.0-{index}", "b"), 149.0)
+        assert record.state == Pending("a")
+
+
+def test_ring_is_used_again_after_the_retention() -> None:
+    values = Values()
+    shard = Shard(0, "/r/", OPTIONS)
+    for now in (100.0, 200.0, 300.0):
+        assert fill(values, shard, now) > 3
+    assert len(values.values) == OPTIONS.slots
+    for value, _ in values.values.values():
+        assert len(value) < 4 * OPTIONS.slot_bytes
+
+
+def test_overdue_command_ends_undecided() -> None:
+    shard = Shard(0, "/r/", OPTIONS)
+    shard.submit(Queued("t", claim("k", "a"), 101.0, 100.0))
+    shard.advance(100.0)
+    shard.advance(102.0)
+    assert shard.take_decided() == [Decided("t", None)]
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b"\xff", b'{"sequence":0}', b"[]\n[]"])
+def test_damaged_value_is_refused(value: bytes) -> None:
+    with pytest.raises(ValueError):
+        decode_slot(value, 1)
+    values = Values()
+    values.values["/r/0/1"] = (value, 7)
+    shard = Shard(0, "/r/", OPTIONS)
+    shard.submit(Queued("t", claim("k", "a"), 101.0, 100.0))
+    values.serve(shard, shard.advance(100.0), 100.0)
+    assert values.values == {"/r/0/1": (value, 7)}
+
+
+def test_slot_survives_encoding() -> None:
+    slot = Slot(4, False, 9)
+    slot.append([encode_record(Record("a", "b", 1.0, Pending("w")))])
+    assert decode_slot(slot.encode(), 9) == slot
