--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -10,6 +10,7 @@
 from tarragonrudder.core.action import CallService
 from tarragonrudder.core.event import CallerGone
 from tarragonrudder.core.keyed import KeyedCalls
+from tarragonrudder.core.keyedcall import Phase
 from tarragonrudder.core.shard import RecordOptions, Shard
 from tests.standins.world import SMALL, World
 
@@ -386,7 +387,7 @@
 
 def _claim_unconfirmed(self: KeyedCalls, call: t.Any, now: float) -> list[t.Any]:
     actions = CLAIM(self, call, now)
-    if call.phase is keyed_module._Phase.CLAIMING and call.step == 1:
+    if call.phase is Phase.CLAIMING and call.step == 1:
         actions.extend(self._send(call, now))
     return actions
 
