--- a/src/tarragonrudder/core/reply.py
+++ b/src/tarragonrudder/core/reply.py
@@ -19,6 +19,7 @@
 )
 
 MAX_KEPT_BODY = 2048  # bytes of an answer that its record keeps
+MAX_CONTENT_TYPE = 256  # characters
 RETRY_AFTER = 1.0  # seconds
 PLATFORM_RETRY_AFTER = 5.0  # seconds
 
@@ -87,7 +88,7 @@
 def keep_outcome(status: int, content_type: str, body: bytes) -> Finished:
     """Return what a record keeps of an answer."""
     kept = body if len(body) <= MAX_KEPT_BODY else None
-    return Finished(status, content_type, kept)
+    return Finished(status, content_type[:MAX_CONTENT_TYPE], kept)
 
 
 def _keeps(outcome: Finished, answer: ServiceAnswered) -> bool:
