--- a/src/tarragonrudder/edges/stream.py
+++ b/src/tarragonrudder/edges/stream.py
@@ -99,6 +99,9 @@
         if upstream is not None and not isinstance(upstream, str):
             raise TypeError("upstream must be a string")
         failure = _read_failure(item["error"])
+        if isinstance(failure, Stalled):
+            # The stage that waited can't tell which of those behind it is slow.
+            upstream = None
         return [AttemptFailed(self._request, self._attempt, failure, upstream)]
 
 
