--- a/benchmarks/source.py
+++ b/benchmarks/source.py
@@ -20,7 +20,10 @@
     """Return a request's path and body."""
     data = b""
     while b"\r\n\r\n" not in data:
-        data += await stream.receive_some()
+        received = await stream.receive_some()
+        if not received:
+            raise trio.BrokenResourceError
+        data += received
     head, _, body = data.partition(b"\r\n\r\n")
     length = 0
     for line in head.split(b"\r\n")[1:]:
@@ -36,9 +39,9 @@
     """Answer one request with a stream, `batch` tokens at a time."""
     async with stream:
         path, body = await read_request(stream)
-        if path != "/v1/generate":
+        while path != "/v1/generate":
             await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
-            return
+            path, body = await read_request(stream)
         work = json.loads(body)
         head = f'data: {{"request":"{work["request"]}","attempt":{work["attempt"]},'
         await stream.send_all(HEAD)
