--- a/src/tarragonrudder/core/action.py
+++ b/src/tarragonrudder/core/action.py
@@ -38,11 +38,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Close an attempt's stream and tell its stages to drop it."""
+    """Close an attempt's stream and tell its stages to drop it.
+
+    Attributes
+    ----------
+    keep_cache : bool
+        Whether the stages hold its KV cache for the next attempt.
+    """
 
     request: str
     attempt: int
     chain: Chain
+    keep_cache: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -1,7 +1,5 @@
 """Life of one model answer, from its first attempt to its end."""
 
-from dataclasses import dataclass, field
-
 from tarragonrudder.core.action import (
     Action,
     CancelAttempt,
@@ -14,46 +12,48 @@
     StartAttempt,
 )
 from tarragonrudder.core.admission import Ticket
+from tarragonrudder.core.assembly import Assembly, TokenFault
+from tarragonrudder.core.attempt import Answer
 from tarragonrudder.core.budget import RetryBudget
-from tarragonrudder.core.chain import Chain, check_chain
+from tarragonrudder.core.diagnosis import PROBE_TIMEOUT, Diagnosis, Finding
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
     ChatRequested,
     Crashed,
     Failure,
+    Malformed,
     Refused,
     Stalled,
-    Token,
     TokensArrived,
+    Unreachable,
+    UpstreamProbed,
 )
 from tarragonrudder.core.fleet import Engine
 from tarragonrudder.core.membership import Membership
-from tarragonrudder.core.quarantine import Quarantine
-from tarragonrudder.core.selection import Need, Selector
+from tarragonrudder.core.pace import MIN_GAPS, SLOW_FACTOR, Pace
+from tarragonrudder.core.passage import Passages
+from tarragonrudder.core.quarantine import CLEARING_TOKENS, Quarantine
+from tarragonrudder.core.recovery import Plan, Recovery
+from tarragonrudder.core.selection import Selector
 from tarragonrudder.errors import (
     DeadlineExceeded,
     NoChain,
     Problem,
     Quarantined,
-    RunState,
     UpstreamFailed,
 )
 
-STALL_TIMEOUT = 1.5  # seconds without a token before an attempt is given up
 NO_CHAIN_RETRY_AFTER = 5.0  # seconds
-
-
-@dataclass(slots=True)
-class _Answer:
-    chat: ChatRequested
-    ticket: Ticket
-    attempt: int = 0
-    chain: Chain | None = None
-    emitted: list[str] = field(default_factory=list)
-    pending: dict[int, str] = field(default_factory=dict)
-    end: AttemptEnded | None = None
-    run_state: RunState = RunState.NOT_RUN
+NO_CHAIN_WAIT = 10.0  # seconds for which a chain is waited for
+NO_CHAIN_PERIOD = 0.2  # seconds between looks for a chain
+BUDGET_PERIOD = 0.1  # seconds between looks at the retry budget
+END_TIMEOUT = 0.3  # seconds for tokens that come after their terminator
+PROBE_GRACE = 0.2  # seconds that a probe's result may be late
+FIRST_TOKEN_TIMEOUT = 2.0  # seconds before a live chain without a token is left
+MOVE_PERIOD = 3.0  # seconds between two moves off a slow chain
+SILENT_PERIOD = 0.3  # seconds without a token before a dead stage is left
+MAX_REJECTIONS = 3  # upstreams that may reject a request
 
 
 class Answers:
@@ -69,9 +69,10 @@
         self._membership = membership
         self._selector = selector
         self._quarantine = quarantine
-        self._budget = budget
-        self._engines: dict[str, Engine] = {}
-        self._answers: dict[str, _Answer] = {}
+        self._recovery = Recovery(membership, selector, quarantine, budget)
+        self._diagnosis = Diagnosis()
+        self._passages = Passages()
+        self._answers: dict[str, Answer] = {}
         self._ended: list[tuple[str, int]] = []
 
     def __len__(self) -> int:
@@ -79,7 +80,7 @@
 
     def configure(self, engines: tuple[Engine, ...]) -> None:
         """Take the engines of a new configuration into use."""
-        self._engines = {engine.name: engine for engine in engines}
+        self._recovery.configure(engines)
 
     def take_ended(self) -> list[tuple[str, int]]:
         """Return requests that ended since the last call, with their tokens."""
@@ -89,13 +90,13 @@
 
     def begin(self, chat: ChatRequested, ticket: Ticket, now: float) -> list[Action]:
         """Start the first attempt of an admitted request."""
-        answer = _Answer(chat, ticket)
+        answer = Answer(chat, ticket, Assembly(chat.max_tokens), Pace(now))
         self._answers[chat.request] = answer
-        self._budget.deposit()
+        self._recovery.count_load(answer.prompt_work, now)
         actions: list[Action] = [
             SetTimer(f"answer-deadline:{chat.request}", ticket.deadline)
         ]
-        actions.extend(self._attempt(answer, now))
+        actions.extend(self._go_on(answer, now))
         return actions
 
     def cancel(self, request: str, now: float) -> list[Action]:
@@ -112,39 +113,62 @@
         answer = self._find(event.request, event.attempt)
         if answer is None:
             return []
-        answer.run_state = RunState.RUN
-        for token in event.tokens:
-            if token.position >= len(answer.emitted):
-                answer.pending.setdefault(token.position, token.text)
-        return self._flush(answer, now)
+        try:
+            ready = answer.assembly.add(event.tokens)
+        except TokenFault as error:
+            return self._reject(answer, str(error), now)
+        if not ready:
+            return []
+        self._note_progress(answer, len(ready), now)
+        actions: list[Action] = [EmitTokens(answer.request, ready)]
+        if answer.assembly.is_whole:
+            actions.extend(self._end(answer, now))
+            return actions
+        if answer.pace.is_degraded and answer.assembly.end is None:
+            moved = self._move(answer, now)
+            if moved:
+                return actions + moved
+        actions.append(self._await_token(answer, answer.pace.stall_timeout, now))
+        return actions
 
     def merge_end(self, event: AttemptEnded, now: float) -> list[Action]:
         """End an answer once all of its tokens are emitted."""
         answer = self._find(event.request, event.attempt)
         if answer is None:
             return []
-        answer.end = event
-        return self._flush(answer, now)
+        try:
+            answer.assembly.finish(event)
+        except TokenFault as error:
+            return self._reject(answer, str(error), now)
+        if answer.assembly.is_whole:
+            return self._end(answer, now)
+        return [self._await_token(answer, END_TIMEOUT, now)]
 
     def merge_failure(self, event: AttemptFailed, now: float) -> list[Action]:
-        """Go on with another chain after a failure, or give up."""
+        """Go on with another chain after a failure."""
         answer = self._find(event.request, event.attempt)
         if answer is None:
             return []
-        actions = self._note_failure(answer, event.failure, event.upstream, now)
-        actions.extend(self._stop_attempt(answer))
-        if self._quarantine.check(answer.chat.fingerprint, now) > 0:
-            actions.extend(self._fail(answer, self._describe_quarantine(answer, now)))
-            return actions
-        if not self._budget.withdraw():
-            problem = UpstreamFailed(
-                "upstreams failed and the retry budget is spent; send it again",
-                answer.run_state,
-                1.0,
-            )
-            actions.extend(self._fail(answer, problem))
+        return self._break_off(answer, event.failure, event.upstream, now)
+
+    def merge_probe(self, event: UpstreamProbed, now: float) -> list[Action]:
+        """Take in a probe's result and leave the stages that it shows dead."""
+        actions: list[Action] = []
+        for finding in self._diagnosis.merge(event, now):
+            actions.extend(self._follow_finding(finding, now))
+        return actions
+
+    def refuse_blocked(self, now: float) -> list[Action]:
+        """End the running answers whose fingerprint was just blocked."""
+        actions: list[Action] = []
+        blocked = set(self._quarantine.take_blocked())
+        if not blocked:
             return actions
-        actions.extend(self._attempt(answer, now))
+        for answer in list(self._answers.values()):
+            if self._quarantine.check(answer.chat.fingerprint, now) <= 0:
+                continue
+            actions.extend(self._stop_attempt(answer))
+            actions.extend(self._fail(answer, self._describe_block(answer, now)))
         return actions
 
     def fire(self, timer: str, now: float) -> list[Action]:
@@ -160,91 +184,110 @@
             actions = self._stop_attempt(answer)
             actions.extend(self._fail(answer, problem))
             return actions
-        return self.merge_failure(
-            AttemptFailed(request, answer.attempt, Stalled(), None), now
-        )
+        if kind == "answer-retry":
+            return self._go_on(answer, now) if answer.chain is None else []
+        return self._suspect_stall(answer, now)
+
+    def tick(self, now: float) -> None:
+        """Forget what is no longer needed."""
+        self._diagnosis.tick(now)
+        self._passages.tick(now)
 
-    def _find(self, request: str, attempt: int) -> _Answer | None:
+    def _find(self, request: str, attempt: int) -> Answer | None:
         answer = self._answers.get(request)
         if answer is None or answer.attempt != attempt or answer.chain is None:
             return None
         return answer
 
-    def _attempt(self, answer: _Answer, now: float) -> list[Action]:
-        chat = answer.chat
-        need = Need(
-            answer.ticket.model,
-            chat.fingerprint,
-            self._membership.unusable(now),
-            keep=answer.chain,
-        )
-        chain = self._selector.choose(need, now)
-        if chain is None:
-            return self._fail(
-                answer,
-                NoChain(
-                    "no live upstreams hold all layers; come back later",
-                    answer.run_state,
-                    NO_CHAIN_RETRY_AFTER,
-                ),
-            )
-        check_chain(chain, answer.ticket.model, self._engines)
-        answer.attempt += 1
-        answer.chain = chain
-        answer.end = None
-        answer.pending.clear()
-        answer.run_state = RunState.UNKNOWN
-        self._selector.start(chain)
-        fields = {
-            "request": chat.request,
-            "attempt": answer.attempt,
-            "chain": chain.describe(),
-            "position": len(answer.emitted),
-        }
-        return [
-            LogDecision("chain_chosen", fields),
-            StartAttempt(
-                chat.request,
-                answer.attempt,
-                chain,
-                chat.prompt,
-                chat.options,
-                tuple(answer.emitted),
-                chat.max_tokens,
-                int(answer.ticket.arrived * 1e6),
-                answer.ticket.priority.level,
-            ),
-            SetTimer(f"answer-stall:{chat.request}", now + STALL_TIMEOUT),
-        ]
+    def _note_progress(self, answer: Answer, count: int, now: float) -> None:
+        pace = answer.pace
+        gap = (now - pace.last) / count
+        pace.add(count, now)
+        answer.ran = True
+        answer.fresh += count
+        self._diagnosis.forget(answer.request)
+        self._recovery.count_load(count, now)
+        if answer.fresh >= CLEARING_TOKENS:
+            self._quarantine.clear(answer.chat.fingerprint, now)
+        usual = gap < SLOW_FACTOR * pace.usual and pace.gaps > MIN_GAPS
+        if usual and answer.chain is not None:
+            answer.healthy_at = now
+            self._passages.record(answer.chain, now)
+
+    def _await_token(self, answer: Answer, timeout: float, now: float) -> Action:
+        return SetTimer(f"answer-stall:{answer.request}", now + timeout)
+
+    def _suspect_stall(self, answer: Answer, now: float) -> list[Action]:
+        if answer.chain is None:
+            return []
+        if answer.assembly.end is not None:
+            return self._reject(answer, "tokens before the terminator are missing", now)
+        finding = self._diagnosis.expire(answer.request)
+        if finding is not None:
+            return self._follow_finding(finding, now)
+        actions, finding = self._diagnosis.begin(answer.request, answer.chain, now)
+        if finding is not None:
+            return self._follow_finding(finding, now)
+        actions.append(self._await_token(answer, PROBE_TIMEOUT + PROBE_GRACE, now))
+        return actions
+
+    def _follow_finding(self, finding: Finding, now: float) -> list[Action]:
+        answer = self._answers.get(finding.request)
+        if answer is None or answer.chain is None:
+            return []
+        if finding.dead:
+            return self._leave_dead(answer, finding.dead, now)
+        waited = now - answer.started_at
+        if answer.fresh or waited >= FIRST_TOKEN_TIMEOUT:
+            moved = self._move(answer, now)
+            if moved:
+                return moved
+        timeout = max(answer.pace.stall_timeout, FIRST_TOKEN_TIMEOUT - waited)
+        return [self._await_token(answer, timeout, now)]
 
-    def _flush(self, answer: _Answer, now: float) -> list[Action]:
+    def _leave_dead(
+        self, found: Answer, dead: frozenset[str], now: float
+    ) -> list[Action]:
+        """Break off all silent answers that pass a dead stage."""
         actions: list[Action] = []
-        tokens = []
-        while len(answer.emitted) in answer.pending:
-            position = len(answer.emitted)
-            text = answer.pending.pop(position)
-            answer.emitted.append(text)
-            tokens.append(Token(position, text))
-        request = answer.chat.request
-        if tokens:
-            actions.append(EmitTokens(request, tuple(tokens)))
-        end = answer.end
-        if end is None or len(answer.emitted) < end.length:
-            if tokens:
-                timer = f"answer-stall:{request}"
-                actions.append(SetTimer(timer, now + STALL_TIMEOUT))
+        for name in sorted(dead):
+            actions.extend(self._membership.mark_failed(name, now))
+        for answer in list(self._answers.values()):
+            if answer.chain is None or not dead & set(answer.chain.upstreams):
+                continue
+            if answer is not found and now - answer.pace.last < SILENT_PERIOD:
+                continue
+            upstream = next(n for n in answer.chain.upstreams if n in dead)
+            actions.extend(self._break_off(answer, Stalled(), upstream, now))
+        return actions
+
+    def _reject(self, answer: Answer, detail: str, now: float) -> list[Action]:
+        if answer.chain is None:
+            return []
+        head = answer.chain.upstreams[0]
+        return self._break_off(answer, Malformed(detail), head, now)
+
+    def _break_off(
+        self, answer: Answer, failure: Failure, upstream: str | None, now: float
+    ) -> list[Action]:
+        actions = self._note_failure(answer, failure, upstream, now)
+        actions.extend(self._stop_attempt(answer, keep_cache=True))
+        answer.end_attempt(failure, upstream)
+        actions.append(ClearTimer(f"answer-stall:{answer.request}"))
+        if len(answer.rejected) >= MAX_REJECTIONS and not answer.ran:
+            problem = UpstreamFailed(
+                "upstreams reject the request; check its options", answer.run_state
+            )
+            actions.extend(self._fail(answer, problem))
             return actions
-        actions.append(EndAnswer(request, end.finish_reason, len(answer.emitted)))
-        if answer.chain is not None:
-            self._selector.finish(answer.chain)
-        actions.extend(self._forget(answer))
+        actions.extend(self._go_on(answer, now, answer.backoff))
         return actions
 
     def _note_failure(
-        self, answer: _Answer, failure: Failure, upstream: str | None, now: float
+        self, answer: Answer, failure: Failure, upstream: str | None, now: float
     ) -> list[Action]:
         fields = {
-            "request": answer.chat.request,
+            "request": answer.request,
             "attempt": answer.attempt,
             "failure": type(failure).__name__,
             "upstream": upstream,
@@ -255,18 +298,104 @@
         match failure:
             case Refused(leaving=True):
                 actions.extend(self._membership.mark_leaving(upstream, now))
+            case Refused() | Malformed():
+                # The request may be at fault, so that others may go on there.
+                answer.rejected.add(upstream)
             case Crashed():
                 actions.extend(self._membership.mark_failed(upstream, now))
+                fingerprint = answer.chat.fingerprint
+                strong = answer.fresh == 0
                 actions.extend(
-                    self._quarantine.record_crash(
-                        answer.chat.fingerprint, self._membership.peers, now
-                    )
+                    self._quarantine.record_crash(fingerprint, upstream, strong, now)
                 )
-            case _:
+            case Unreachable() | Stalled():
                 actions.extend(self._membership.mark_failed(upstream, now))
         return actions
 
-    def _describe_quarantine(self, answer: _Answer, now: float) -> Problem:
+    def _go_on(self, answer: Answer, now: float, backoff: float = 0.0) -> list[Action]:
+        """Start the next attempt as soon as it may start."""
+        fingerprint = answer.chat.fingerprint
+        if self._quarantine.check(fingerprint, now) > 0:
+            return self._fail(answer, self._describe_block(answer, now))
+        delay = max(backoff, self._quarantine.measure_delay(fingerprint, now))
+        if delay > 0:
+            return [self._retry_later(answer, delay, now)]
+        plan = self._recovery.plan(answer, now)
+        if plan is None or not self._recovery.check(answer, plan.chain, now):
+            return self._await_chain(answer, now)
+        if not self._recovery.pay(plan, now):
+            return [self._retry_later(answer, BUDGET_PERIOD, now)]
+        return self._dispatch(answer, plan, now)
+
+    def _retry_later(self, answer: Answer, delay: float, now: float) -> Action:
+        return SetTimer(f"answer-retry:{answer.request}", now + delay)
+
+    def _await_chain(self, answer: Answer, now: float) -> list[Action]:
+        """Wait for a chain where one is expected, else give up at once."""
+        if answer.waits_since is None:
+            answer.waits_since = now
+        waited = now - answer.waits_since
+        expected = answer.ran or self._recovery.is_chain_expected(answer, now)
+        if expected and waited < NO_CHAIN_WAIT:
+            return [self._retry_later(answer, NO_CHAIN_PERIOD, now)]
+        problem = NoChain(
+            "no live upstreams hold all layers; come back later",
+            answer.run_state,
+            NO_CHAIN_RETRY_AFTER,
+        )
+        return self._fail(answer, problem)
+
+    def _move(self, answer: Answer, now: float) -> list[Action]:
+        """Leave a slow chain for another; empty if there is none or no budget."""
+        if answer.chain is None or now - answer.moved_at < MOVE_PERIOD:
+            return []
+        blamed = self._passages.find_blamed(answer.chain, answer.healthy_at)
+        plan = self._recovery.plan(answer, now, blamed)
+        if plan is None or not self._recovery.check(answer, plan.chain, now):
+            return []
+        if blamed & set(plan.chain.upstreams) or not self._recovery.pay(plan, now):
+            return []
+        answer.moved_at = now
+        fields = {"request": answer.request, "blamed": sorted(blamed)}
+        actions: list[Action] = [LogDecision("chain_slow", fields)]
+        if len(blamed) == 1:
+            actions.extend(self._membership.mark_slow(next(iter(blamed)), now))
+        actions.extend(self._stop_attempt(answer, keep_cache=True))
+        answer.end_attempt(Stalled(), None)
+        actions.extend(self._dispatch(answer, plan, now))
+        return actions
+
+    def _dispatch(self, answer: Answer, plan: Plan, now: float) -> list[Action]:
+        chat = answer.chat
+        emitted = tuple(answer.assembly.emitted)
+        answer.start(plan.chain, now)
+        self._selector.start(plan.chain)
+        fields = {
+            "request": chat.request,
+            "attempt": answer.attempt,
+            "chain": plan.chain.describe(),
+            "position": len(emitted),
+            "work": round(plan.work, 1),
+        }
+        actions: list[Action] = [LogDecision("chain_chosen", fields)]
+        actions.extend(self._quarantine.place(chat.fingerprint, plan.placed, now))
+        actions.append(
+            StartAttempt(
+                chat.request,
+                answer.attempt,
+                plan.chain,
+                chat.prompt,
+                chat.options,
+                emitted,
+                chat.max_tokens,
+                int(answer.ticket.arrived * 1e6),
+                answer.ticket.priority.level,
+            )
+        )
+        actions.append(self._await_token(answer, answer.pace.stall_timeout, now))
+        return actions
+
+    def _describe_block(self, answer: Answer, now: float) -> Problem:
         remaining = self._quarantine.check(answer.chat.fingerprint, now)
         return Quarantined(
             "this request crashed upstreams; change it or wait",
@@ -274,22 +403,37 @@
             remaining,
         )
 
-    def _stop_attempt(self, answer: _Answer) -> list[Action]:
+    def _stop_attempt(self, answer: Answer, keep_cache: bool = False) -> list[Action]:
+        self._diagnosis.forget(answer.request)
         if answer.chain is None:
             return []
         self._selector.finish(answer.chain)
-        return [CancelAttempt(answer.chat.request, answer.attempt, answer.chain)]
+        return [CancelAttempt(answer.request, answer.attempt, answer.chain, keep_cache)]
+
+    def _end(self, answer: Answer, now: float) -> list[Action]:
+        end = answer.assembly.end
+        if end is None or answer.chain is None:
+            raise RuntimeError("an answer was ended before its terminator")
+        self._selector.finish(answer.chain)
+        self._quarantine.clear(answer.chat.fingerprint, now)
+        actions: list[Action] = [
+            EndAnswer(answer.request, end.finish_reason, end.length)
+        ]
+        actions.extend(self._forget(answer))
+        return actions
 
-    def _fail(self, answer: _Answer, problem: Problem) -> list[Action]:
-        actions: list[Action] = [FailAnswer(answer.chat.request, problem)]
+    def _fail(self, answer: Answer, problem: Problem) -> list[Action]:
+        actions: list[Action] = [FailAnswer(answer.request, problem)]
         actions.extend(self._forget(answer))
         return actions
 
-    def _forget(self, answer: _Answer) -> list[Action]:
-        request = answer.chat.request
+    def _forget(self, answer: Answer) -> list[Action]:
+        request = answer.request
         del self._answers[request]
-        self._ended.append((request, len(answer.emitted)))
+        self._diagnosis.forget(request)
+        self._ended.append((request, len(answer.assembly.emitted)))
         return [
             ClearTimer(f"answer-deadline:{request}"),
             ClearTimer(f"answer-stall:{request}"),
+            ClearTimer(f"answer-retry:{request}"),
         ]
--- /dev/null
+++ b/src/tarragonrudder/core/assembly.py
@@ -0,0 +1,92 @@
+"""Puts the tokens of one answer in order, each position once."""
+
+from dataclasses import dataclass, field
+
+from tarragonrudder.core.event import AttemptEnded, Token
+
+FINISH_REASONS = ("stop", "length")
+
+
+class TokenFault(Exception):
+    """An attempt sent tokens or a terminator that break the protocol."""
+
+
+@dataclass(slots=True)
+class Assembly:
+    """Tokens of one answer over all of its attempts.
+
+    Attributes
+    ----------
+    max_tokens : int
+        Upper bound of the answer's length.
+    emitted : list of str
+        What the caller has got; positions count from 0.
+    """
+
+    max_tokens: int
+    emitted: list[str] = field(default_factory=list)
+    _pending: dict[int, str] = field(default_factory=dict)
+    _end: AttemptEnded | None = None
+
+    @property
+    def end(self) -> AttemptEnded | None:
+        """The current attempt's terminator, if it came."""
+        return self._end
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the terminator and every token before it came."""
+        return self._end is not None and self._end.length == len(self.emitted)
+
+    def restart(self) -> None:
+        """Forget what an earlier attempt sent beyond the emitted tokens."""
+        self._pending.clear()
+        self._end = None
+
+    def add(self, tokens: tuple[Token, ...]) -> tuple[Token, ...]:
+        """Take tokens of the current attempt; return those to emit, in order.
+
+        Raises
+        ------
+        TokenFault
+            If a position is out of bounds or carries two different texts.
+        """
+        for token in tokens:
+            self._check(token)
+            if token.position >= len(self.emitted):
+                self._pending[token.position] = token.text
+        ready = []
+        while len(self.emitted) in self._pending:
+            position = len(self.emitted)
+            text = self._pending.pop(position)
+            self.emitted.append(text)
+            ready.append(Token(position, text))
+        return tuple(ready)
+
+    def finish(self, end: AttemptEnded) -> None:
+        """Take the terminator of the current attempt.
+
+        Raises
+        ------
+        TokenFault
+            If its length or reason contradicts the tokens.
+        """
+        if self._end is not None and self._end != end:
+            raise TokenFault("two terminators differ")
+        if end.finish_reason not in FINISH_REASONS:
+            raise TokenFault(f"finish reason {end.finish_reason!r} is unknown")
+        known = max(self._pending, default=len(self.emitted) - 1) + 1
+        if not known <= end.length <= self.max_tokens:
+            raise TokenFault(f"length {end.length} after {known} tokens")
+        self._end = end
+
+    def _check(self, token: Token) -> None:
+        limit = self.max_tokens if self._end is None else self._end.length
+        if not 0 <= token.position < limit:
+            raise TokenFault(f"position {token.position} is not below {limit}")
+        if token.position < len(self.emitted):
+            known = self.emitted[token.position]
+        else:
+            known = self._pending.get(token.position, token.text)
+        if known != token.text:
+            raise TokenFault(f"position {token.position} came with two texts")
--- /dev/null
+++ b/src/tarragonrudder/core/attempt.py
@@ -0,0 +1,115 @@
+"""State of one answer over its attempts."""
+
+from dataclasses import dataclass, field
+
+from tarragonrudder.core.admission import Ticket
+from tarragonrudder.core.assembly import Assembly
+from tarragonrudder.core.chain import Chain
+from tarragonrudder.core.event import (
+    ChatRequested,
+    Failure,
+    Refused,
+    Unreachable,
+)
+from tarragonrudder.core.pace import Pace
+from tarragonrudder.errors import RunState
+
+PROMPT_BYTES_PER_TOKEN = 4
+FIRST_BACKOFF = 0.05  # seconds
+MAX_BACKOFF = 1.0  # seconds
+
+
+@dataclass(slots=True)
+class Answer:
+    """One answer in flight.
+
+    Attributes
+    ----------
+    chain : Chain or None
+        Chain of the running attempt; None between attempts.
+    previous : Chain or None
+        Chain of the attempt before.
+    alive : frozenset of str
+        Stages of `previous` that may still hold their KV cache.
+    rejected : set of str
+        Upstreams that refused this request or sent nonsense for it.
+    fresh : int
+        Tokens of the running attempt.
+    failures : int
+        Attempts in a row that failed without a new token.
+    ran, in_doubt : bool
+        Whether tokens came, and whether an ended attempt may have run.
+    """
+
+    chat: ChatRequested
+    ticket: Ticket
+    assembly: Assembly
+    pace: Pace
+    attempt: int = 0
+    chain: Chain | None = None
+    previous: Chain | None = None
+    alive: frozenset[str] = frozenset()
+    rejected: set[str] = field(default_factory=set)
+    fresh: int = 0
+    failures: int = 0
+    ran: bool = False
+    in_doubt: bool = False
+    started_at: float = 0.0
+    healthy_at: float = 0.0
+    moved_at: float = float("-inf")
+    waits_since: float | None = None
+
+    @property
+    def request(self) -> str:
+        """Name of the request."""
+        return self.chat.request
+
+    @property
+    def run_state(self) -> RunState:
+        """Whether the request ran, as far as it is known."""
+        if self.ran:
+            return RunState.RUN
+        if self.in_doubt or self.chain is not None:
+            return RunState.UNKNOWN
+        return RunState.NOT_RUN
+
+    @property
+    def prompt_work(self) -> float:
+        """Tokens of the prompt, estimated from its size."""
+        return len(self.chat.prompt) / PROMPT_BYTES_PER_TOKEN
+
+    @property
+    def backoff(self) -> float:
+        """Seconds to wait before the next attempt."""
+        if self.failures < 2:
+            return 0.0
+        doublings = min(self.failures - 2, 10)
+        return min(MAX_BACKOFF, FIRST_BACKOFF * 2**doublings)
+
+    def start(self, chain: Chain, now: float) -> None:
+        """Begin an attempt on a chain."""
+        self.attempt += 1
+        self.chain = chain
+        self.fresh = 0
+        self.started_at = self.healthy_at = now
+        self.waits_since = None
+        self.assembly.restart()
+        self.pace.restart(now)
+
+    def end_attempt(self, failure: Failure, upstream: str | None) -> None:
+        """Note that the running attempt failed."""
+        if self.chain is None:
+            return
+        if not self._never_ran(failure, upstream):
+            self.in_doubt = True
+        self.previous = self.chain
+        self.alive = frozenset(self.chain.upstreams) - {upstream}
+        self.chain = None
+        self.failures = 1 if self.fresh else self.failures + 1
+
+    def _never_ran(self, failure: Failure, upstream: str | None) -> bool:
+        if self.chain is None or self.fresh:
+            return False
+        # A later stage refuses only after the head has run its layers.
+        at_head = upstream == self.chain.upstreams[0]
+        return at_head and isinstance(failure, Unreachable | Refused)
--- a/src/tarragonrudder/core/budget.py
+++ b/src/tarragonrudder/core/budget.py
@@ -1,22 +1,51 @@
-"""Budget that keeps retries to a share of the load."""
+"""Budget that keeps the work of retries to a share of the load.
 
-RETRY_SHARE = 0.1  # retries for each first attempt
-MINIMUM_RETRIES = 10.0  # retries that a quiet node may make at once
+The unit is one token passed through all layers of its model. Work on a part
+of the layers counts in proportion, and a kept KV cache costs nothing.
+"""
+
+RETRY_SHARE = 0.1  # work of retries for each unit of load
+MIN_RATE = 50.0  # units a second that a node without load may spend
+MIN_RESERVE = 4000.0  # units that a node may spend at once
+RESERVE_PERIOD = 60.0  # seconds of load whose share a node may save up
 
 
 class RetryBudget:
-    """Grows with each first attempt and shrinks with each retry."""
+    """Grows with the load and shrinks with each retry."""
 
     def __init__(self) -> None:
-        self._balance = MINIMUM_RETRIES
+        self._balance = MIN_RESERVE
+        self._updated = 0.0
+        self._load = 0.0
+        self.spent = 0.0
 
-    def deposit(self) -> None:
-        """Count a first attempt."""
-        self._balance = min(MINIMUM_RETRIES * 10, self._balance + RETRY_SHARE)
+    def deposit(self, work: float, now: float) -> None:
+        """Count work of first attempts, in units."""
+        self._update(now)
+        self._load += work
+        self._add(RETRY_SHARE * work)
 
-    def withdraw(self) -> bool:
-        """Take one retry; False if the budget is spent."""
-        if self._balance < 1.0:
+    def withdraw(self, work: float, now: float) -> bool:
+        """Take the work of one retry; False if the budget is spent."""
+        self._update(now)
+        # A retry larger than the whole reserve needs the whole reserve.
+        needed = min(work, self._reserve)
+        if self._balance < needed:
             return False
-        self._balance -= 1.0
+        self._balance -= work
+        self.spent += work
         return True
+
+    @property
+    def _reserve(self) -> float:
+        # The load is a decaying sum over the reserve's period.
+        return max(MIN_RESERVE, RETRY_SHARE * self._load)
+
+    def _update(self, now: float) -> None:
+        passed = max(0.0, now - self._updated)
+        self._updated = max(now, self._updated)
+        self._load *= max(0.0, 1.0 - passed / RESERVE_PERIOD)
+        self._add(passed * MIN_RATE)
+
+    def _add(self, work: float) -> None:
+        self._balance = min(self._reserve, self._balance + work)
--- a/src/tarragonrudder/core/chain.py
+++ b/src/tarragonrudder/core/chain.py
@@ -1,7 +1,7 @@
 """Chains of stages that one answer passes through, and their check."""
 
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tarragonrudder.core.fleet import Engine, LayerRange, Model
 from tarragonrudder.errors import ChainError
@@ -91,3 +91,59 @@
         expected = hop.layers.last + 1
     if expected != model.layer_count:
         raise ChainError(f"layer {expected} is not covered; add a stage that holds it")
+
+
+def assign_caches(
+    chain: Chain,
+    previous: Chain | None,
+    attempt: int,
+    emitted: int,
+    alive: t.Collection[str],
+) -> Chain:
+    """Say where each stage of a new chain gets its KV cache from.
+
+    Parameters
+    ----------
+    chain : Chain
+        The chain that the answer goes on with.
+    previous : Chain or None
+        The chain of the attempt before.
+    attempt : int
+        Number of that attempt.
+    emitted : int
+        Tokens that the caller has.
+    alive : collection of str
+        Upstreams of `previous` that still answer.
+
+    Returns
+    -------
+    Chain
+        The same stages. A stage that ran the very same layers keeps its
+        cache; one whose layers ran on a single live upstream imports them;
+        the others replay the prompt and the emitted tokens. Before the first
+        token no cache is known to be whole, and all stages start anew.
+    """
+    if emitted == 0:
+        return chain
+    held: dict[LayerRange, str] = {}
+    if previous is not None:
+        held = {hop.layers: hop.upstream for hop in previous.hops}
+    hops = []
+    for hop in chain.hops:
+        source = held.get(hop.layers)
+        cache: CacheSource = ReplayedCache()
+        if source is not None and source in alive:
+            cache = ImportedCache(attempt, source)
+            if source == hop.upstream:
+                cache = KeptCache(attempt)
+        hops.append(replace(hop, cache=cache))
+    return replace(chain, hops=tuple(hops))
+
+
+def count_replayed_layers(chain: Chain) -> int:
+    """Return the layers whose KV cache has to be computed again."""
+    count = 0
+    for hop in chain.hops:
+        if isinstance(hop.cache, FreshCache | ReplayedCache):
+            count += len(hop.layers)
+    return count
--- /dev/null
+++ b/src/tarragonrudder/core/diagnosis.py
@@ -0,0 +1,93 @@
+"""Finds out which stage of a stalled chain does not answer."""
+
+from dataclasses import dataclass, field
+
+from tarragonrudder.core.action import Action, ProbeUpstream
+from tarragonrudder.core.chain import Chain, Hop
+from tarragonrudder.core.event import UpstreamProbed
+
+PROBE_TIMEOUT = 0.5  # seconds
+PROBE_MAX_AGE = 0.3  # seconds for which a probe's result is used again
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Result for one answer; `dead` holds the stages that did not answer."""
+
+    request: str
+    dead: frozenset[str]
+
+
+@dataclass(slots=True)
+class _Case:
+    waiting: set[str]
+    dead: set[str] = field(default_factory=set)
+
+
+class Diagnosis:
+    """Probes shared by all stalled answers of this node."""
+
+    def __init__(self) -> None:
+        self._cases: dict[str, _Case] = {}
+        self._probing: dict[str, float] = {}
+        self._results: dict[str, tuple[float, bool]] = {}
+
+    def begin(
+        self, request: str, chain: Chain, now: float
+    ) -> tuple[list[Action], Finding | None]:
+        """Probe all stages of a chain; the finding may be there at once."""
+        case = _Case(set())
+        actions: list[Action] = []
+        for hop in chain.hops:
+            probed_at, answered = self._results.get(hop.upstream, (0.0, True))
+            if hop.upstream in self._results and now - probed_at < PROBE_MAX_AGE:
+                if not answered:
+                    case.dead.add(hop.upstream)
+                continue
+            case.waiting.add(hop.upstream)
+            actions.extend(self._probe(hop, now))
+        if not case.waiting:
+            return [], Finding(request, frozenset(case.dead))
+        self._cases[request] = case
+        return actions, None
+
+    def merge(self, event: UpstreamProbed, now: float) -> list[Finding]:
+        """Take in a probe's result; return what is now found."""
+        self._probing.pop(event.upstream, None)
+        self._results[event.upstream] = (now, event.answered)
+        findings = []
+        for request, case in list(self._cases.items()):
+            if event.upstream not in case.waiting:
+                continue
+            case.waiting.discard(event.upstream)
+            if not event.answered:
+                case.dead.add(event.upstream)
+            if case.waiting:
+                continue
+            del self._cases[request]
+            findings.append(Finding(request, frozenset(case.dead)))
+        return findings
+
+    def expire(self, request: str) -> Finding | None:
+        """End a case whose probes are overdue: their stages are dead."""
+        case = self._cases.pop(request, None)
+        if case is None:
+            return None
+        return Finding(request, frozenset(case.dead | case.waiting))
+
+    def forget(self, request: str) -> None:
+        """Drop an answer's case."""
+        self._cases.pop(request, None)
+
+    def tick(self, now: float) -> None:
+        """Forget old results."""
+        for name, (probed_at, _) in list(self._results.items()):
+            if now - probed_at >= PROBE_MAX_AGE:
+                del self._results[name]
+
+    def _probe(self, hop: Hop, now: float) -> list[Action]:
+        started = self._probing.get(hop.upstream)
+        if started is not None and now - started < PROBE_TIMEOUT:
+            return []
+        self._probing[hop.upstream] = now
+        return [ProbeUpstream(hop.upstream, hop.address, PROBE_TIMEOUT)]
--- /dev/null
+++ b/src/tarragonrudder/core/gossip.py
@@ -0,0 +1,101 @@
+"""Spreads short-lived facts to all nodes by bounded random relay.
+
+Each node that learns a fact passes it on to a few random peers in a few
+rounds, so that the time to reach all nodes grows with the logarithm of their
+number and no single lost message matters (Demers et al., "Epidemic algorithms
+for replicated database maintenance", PODC 1987).
+"""
+
+import random
+import typing as t
+from dataclasses import dataclass, replace
+
+from tarragonrudder.core.action import Action, SendPeer, SetTimer
+from tarragonrudder.core.message import Fact, Facts, FingerprintBlocked, UpstreamLeaving
+
+FANOUT = 3  # peers in one round
+ROUNDS = 5  # rounds in which a node passes a fact on
+ROUND_PERIOD = 0.2  # seconds
+BYTES_PER_SECOND = 1500.0  # spent on gossip in the long run
+BURST_BYTES = 64_000.0
+MESSAGE_OVERHEAD = 350  # bytes of one message beside its facts
+FACT_BYTES = 130  # bytes of one fact
+MAX_FACTS = 100  # in one message
+MAX_WAITING = 2000  # facts that wait to be passed on
+TIMER = "gossip"
+
+
+@dataclass(slots=True)
+class _Entry:
+    fact: Fact
+    learned: float
+    rounds: int = 0
+
+
+class Gossip:
+    """Facts that this node still passes on."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
+        self._peers: tuple[str, ...] = ()
+        self._entries: dict[str, _Entry] = {}
+        self._allowance = BURST_BYTES
+        self._updated = 0.0
+        self._scheduled = False
+
+    def set_peers(self, peers: tuple[str, ...]) -> None:
+        """Replace the names of the other live nodes."""
+        self._peers = peers
+
+    def spread(self, key: str, fact: Fact, now: float) -> list[Action]:
+        """Begin to pass on a fact; a newer one of the same key replaces it."""
+        if key not in self._entries and len(self._entries) >= MAX_WAITING:
+            return []
+        self._entries[key] = _Entry(fact, now)
+        if self._scheduled:
+            return []
+        self._scheduled = True
+        return [SetTimer(TIMER, now)]
+
+    def fire(self, now: float) -> list[Action]:
+        """Run one round."""
+        self._scheduled = False
+        passed = max(0.0, now - self._updated)
+        self._updated = now
+        allowance = self._allowance + passed * BYTES_PER_SECOND
+        self._allowance = min(BURST_BYTES, allowance)
+        actions: list[Action] = []
+        chosen = self._choose_entries()
+        if chosen and self._peers:
+            actions.extend(self._send(chosen, now))
+        for key in [k for k, e in self._entries.items() if e.rounds >= ROUNDS]:
+            del self._entries[key]
+        if self._entries:
+            self._scheduled = True
+            actions.append(SetTimer(TIMER, now + ROUND_PERIOD))
+        return actions
+
+    def _choose_entries(self) -> list[_Entry]:
+        entries = sorted(self._entries.values(), key=_rank)
+        return entries[:MAX_FACTS]
+
+    def _send(self, entries: list[_Entry], now: float) -> list[Action]:
+        count = min(FANOUT, len(self._peers))
+        room = self._allowance / count - MESSAGE_OVERHEAD
+        entries = entries[: max(0, int(room // FACT_BYTES))]
+        if not entries:
+            return []
+        facts = []
+        for entry in entries:
+            entry.rounds += 1
+            age = entry.fact.age + now - entry.learned
+            facts.append(replace(entry.fact, age=age))
+        self._allowance -= count * (MESSAGE_OVERHEAD + FACT_BYTES * len(facts))
+        message = Facts(tuple(facts))
+        peers = self._random.sample(self._peers, count)
+        return [SendPeer(peer, message) for peer in peers]
+
+
+def _rank(entry: _Entry) -> tuple[t.Any, ...]:
+    urgent = isinstance(entry.fact, FingerprintBlocked | UpstreamLeaving)
+    return (not urgent, entry.rounds, entry.learned)
--- a/src/tarragonrudder/core/membership.py
+++ b/src/tarragonrudder/core/membership.py
@@ -1,22 +1,41 @@
 """Which upstreams may get new work, and which nodes are alive."""
 
-from tarragonrudder.core.action import Action, LogDecision, SendPeer
-from tarragonrudder.core.event import NodeAddress, VmsListed
+from dataclasses import dataclass
+
+from tarragonrudder.core.action import Action, LogDecision, ProbeUpstream
+from tarragonrudder.core.event import NodeAddress, UpstreamProbed, VmsListed
+from tarragonrudder.core.fleet import Engine
+from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.message import UpstreamLeaving
 
-FAILED_PERIOD = 5.0  # seconds without new work after a failure
-LEAVING_PERIOD = 60.0  # seconds that a leaving upstream's own word holds
+FAILED_PERIOD = 1.0  # seconds without new work after a failure
+SERVICE_FAILED_PERIOD = 5.0  # seconds, for upstreams that aren't probed
+MAX_FAILED_PERIOD = 8.0  # seconds between probes of a dead upstream
+SLOW_PERIOD = 10.0  # seconds for which a slow upstream is avoided
+LEAVING_PERIOD = 40.0  # seconds that word of leaving holds; the list lags less
+PROBE_TIMEOUT = 0.5  # seconds
+RENEWAL = 1.0  # seconds by which word must be newer to be passed on
+
+
+@dataclass(slots=True)
+class _Failure:
+    until: float
+    period: float
+    probing: bool = False
 
 
 class Membership:
     """Merged view of upstreams: platform's list, own failures, peers' word."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, gossip: Gossip) -> None:
         self._name = name
+        self._gossip = gossip
         self._nodes: tuple[NodeAddress, ...] = ()
+        self._engines: dict[str, str] = {}
         self._listed_leaving: frozenset[str] = frozenset()
-        self._leaving_until: dict[str, float] = {}
-        self._failed_until: dict[str, float] = {}
+        self._leaving_since: dict[str, float] = {}
+        self._failed: dict[str, _Failure] = {}
+        self._slow_until: dict[str, float] = {}
 
     @property
     def nodes(self) -> tuple[NodeAddress, ...]:
@@ -28,39 +47,97 @@
         """Names of the other live nodes."""
         return tuple(node.name for node in self._nodes if node.name != self._name)
 
+    def configure(self, engines: tuple[Engine, ...]) -> None:
+        """Take the engines of a new configuration into use."""
+        self._engines = {engine.name: engine.address for engine in engines}
+
     def set_nodes(self, nodes: tuple[NodeAddress, ...]) -> None:
         """Replace the list of live nodes."""
         self._nodes = tuple(sorted(nodes, key=lambda node: node.name))
+        self._gossip.set_peers(self.peers)
 
-    def merge_vms(self, event: VmsListed) -> None:
+    def merge_vms(self, event: VmsListed, now: float) -> list[Action]:
         """Take in the platform's list, which may lag."""
-        self._listed_leaving = frozenset(vm.name for vm in event.vms if vm.leaving)
+        leaving = frozenset(vm.name for vm in event.vms if vm.leaving)
+        actions: list[Action] = []
+        for name in sorted(leaving - self._listed_leaving):
+            actions.extend(self.mark_leaving(name, now))
+        self._listed_leaving = leaving
+        return actions
 
     def mark_failed(self, upstream: str, now: float) -> list[Action]:
-        """Give an upstream no new work for a period."""
-        self._failed_until[upstream] = now + FAILED_PERIOD
+        """Give an upstream no new work until a probe finds it alive."""
+        period = FAILED_PERIOD
+        if upstream not in self._engines:
+            period = SERVICE_FAILED_PERIOD
+        self._failed[upstream] = _Failure(now + period, period)
         return [LogDecision("upstream_failed", {"upstream": upstream})]
 
-    def mark_leaving(
-        self, upstream: str, now: float, announce: bool = True
-    ) -> list[Action]:
+    def mark_slow(self, upstream: str, now: float) -> list[Action]:
+        """Avoid an upstream for a period."""
+        self._slow_until[upstream] = now + SLOW_PERIOD
+        return [LogDecision("upstream_slow", {"upstream": upstream})]
+
+    def mark_leaving(self, upstream: str, now: float, age: float = 0.0) -> list[Action]:
         """Note that an upstream is shutting down; tell the other nodes."""
-        known = self._leaving_until.get(upstream, 0.0) > now
-        self._leaving_until[upstream] = now + LEAVING_PERIOD
-        if known or not announce:
+        since = now - age
+        known = self._leaving_since.get(upstream)
+        if age >= LEAVING_PERIOD or (known is not None and since < known + RENEWAL):
             return []
+        self._leaving_since[upstream] = since
         actions: list[Action] = [
             LogDecision("upstream_leaving", {"upstream": upstream})
         ]
-        for peer in self.peers:
-            actions.append(SendPeer(peer, UpstreamLeaving(upstream, 0.0)))
+        fact = UpstreamLeaving(upstream, age)
+        actions.extend(self._gossip.spread(f"leaving:{upstream}", fact, now))
+        return actions
+
+    def merge_probe(self, event: UpstreamProbed, now: float) -> list[Action]:
+        """End or prolong a failure by what a probe found."""
+        failure = self._failed.get(event.upstream)
+        if failure is None or not failure.probing:
+            return []
+        if event.answered:
+            del self._failed[event.upstream]
+            return [LogDecision("upstream_alive", {"upstream": event.upstream})]
+        failure.probing = False
+        failure.period = min(MAX_FAILED_PERIOD, 2 * failure.period)
+        failure.until = now + failure.period
+        return []
+
+    def tick(self, now: float) -> list[Action]:
+        """Probe failed upstreams and forget what has ended."""
+        actions: list[Action] = []
+        for name, failure in list(self._failed.items()):
+            if failure.until > now or failure.probing:
+                continue
+            address = self._engines.get(name)
+            if address is None:
+                del self._failed[name]
+                continue
+            failure.probing = True
+            actions.append(ProbeUpstream(name, address, PROBE_TIMEOUT))
+        for name, since in list(self._leaving_since.items()):
+            if since + LEAVING_PERIOD <= now:
+                del self._leaving_since[name]
+        for name, until in list(self._slow_until.items()):
+            if until <= now:
+                del self._slow_until[name]
         return actions
 
     def unusable(self, now: float) -> frozenset[str]:
         """Return the upstreams that must get no new work."""
+        return self.leaving(now) | self._failed.keys()
+
+    def leaving(self, now: float) -> frozenset[str]:
+        """Return the upstreams that are shutting down."""
         names = set(self._listed_leaving)
-        for until in (self._leaving_until, self._failed_until):
-            for name, end in until.items():
-                if end > now:
-                    names.add(name)
+        for name, since in self._leaving_since.items():
+            if since + LEAVING_PERIOD > now:
+                names.add(name)
+        return frozenset(names)
+
+    def slow(self, now: float) -> frozenset[str]:
+        """Return the upstreams that are better avoided."""
+        names = [name for name, until in self._slow_until.items() if until > now]
         return frozenset(names)
--- a/src/tarragonrudder/core/message.py
+++ b/src/tarragonrudder/core/message.py
@@ -9,18 +9,80 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamLeaving:
-    """An upstream said that it is shutting down."""
+    """An upstream is shutting down.
 
+    Attributes
+    ----------
+    age : float
+        Seconds since it was learned first.
+    """
+
+    upstream: str
+    age: float
+    kind: t.Literal["leaving"] = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNoted:
+    """A request ran on an upstream when that crashed.
+
+    Attributes
+    ----------
+    strong : bool
+        Whether no token of the attempt had come from the upstream yet.
+    age : float
+        Seconds since the crash.
+    """
+
+    fingerprint: str
     upstream: str
+    strong: bool
+    age: float
+    kind: t.Literal["crash"] = "crash"
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectPlaced:
+    """A suspected request runs again, on these upstreams.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since it was sent there.
+    """
+
+    fingerprint: str
+    upstreams: tuple[str, ...]
     age: float
+    kind: t.Literal["placed"] = "placed"
 
 
 @dataclass(frozen=True, slots=True)
 class FingerprintBlocked:
-    """A request crashed upstreams and is refused on all nodes for a period."""
+    """A request crashed upstreams and is refused on all nodes for a period.
+
+    Attributes
+    ----------
+    upstreams : tuple of str
+        Those whose crash it explains.
+    age : float
+        Seconds since the refusal began.
+    """
 
     fingerprint: str
-    remaining: float
+    upstreams: tuple[str, ...]
+    age: float
+    kind: t.Literal["blocked"] = "blocked"
+
+
+Fact: t.TypeAlias = UpstreamLeaving | CrashNoted | SuspectPlaced | FingerprintBlocked
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """Facts that are passed on from node to node."""
+
+    facts: tuple[Fact, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +93,7 @@
 
 
 MESSAGES: tuple[type, ...] = (
-    UpstreamLeaving,
-    FingerprintBlocked,
+    Facts,
     GenerationAnnounced,
 )
-Message: t.TypeAlias = UpstreamLeaving | FingerprintBlocked | GenerationAnnounced
+Message: t.TypeAlias = Facts | GenerationAnnounced
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -33,12 +33,16 @@
     StopRequested,
     TimerFired,
     TokensArrived,
+    UpstreamProbed,
     VmsListed,
 )
 from tarragonrudder.core.fleet import ClientAccount, Configuration
+from tarragonrudder.core.gossip import TIMER as GOSSIP_TIMER
+from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
-from tarragonrudder.core.message import FingerprintBlocked, UpstreamLeaving
+from tarragonrudder.core.message import Fact, Facts, UpstreamLeaving
+from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
 from tarragonrudder.errors import (
@@ -78,11 +82,12 @@
         self._chats: dict[str, ChatRequested] = {}
         self._accounts: dict[str, ClientAccount] = {}
         self.adoption = Adoption()
-        self.membership = Membership(options.name)
+        self.gossip = Gossip(source)
+        self.membership = Membership(options.name, self.gossip)
         self.selector = Selector(options.data_center, source)
         self.limits = Limits(options.name)
         self.admission = Admission()
-        self.quarantine = Quarantine()
+        self.quarantine = Quarantine(self.gossip)
         self.budget = RetryBudget()
         self.answers = Answers(
             self.membership, self.selector, self.quarantine, self.budget
@@ -124,6 +129,7 @@
             To be carried out in order.
         """
         actions = self._dispatch(event, now)
+        actions.extend(self.answers.refuse_blocked(now))
         actions.extend(self._settle(now))
         return actions
 
@@ -150,7 +156,11 @@
             case CacheChanged():
                 self.selector.merge_cache(event, now)
             case VmsListed():
-                self.membership.merge_vms(event)
+                return self.membership.merge_vms(event, now)
+            case UpstreamProbed():
+                actions = self.answers.merge_probe(event, now)
+                actions.extend(self.membership.merge_probe(event, now))
+                return actions
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes)
@@ -242,26 +252,40 @@
         self._accounts = {account.name: account for account in configuration.accounts}
         self.selector.configure(configuration)
         self.admission.configure(configuration)
+        self.membership.configure(configuration.engines)
         self.answers.configure(configuration.engines)
         self.calls.configure(configuration)
         return actions
 
     def _hear(self, event: PeerReached, now: float) -> list[Action]:
         match event.message:
-            case UpstreamLeaving(upstream=upstream):
-                return self.membership.mark_leaving(upstream, now, announce=False)
-            case FingerprintBlocked() as message:
-                self.quarantine.merge(message, now)
-                return []
+            case Facts(facts=facts):
+                actions: list[Action] = []
+                for fact in facts:
+                    actions.extend(self._learn(fact, now))
+                return actions
         return self.limits.handle_peer(event.node, event.message, now)
 
+    def _learn(self, fact: Fact, now: float) -> list[Action]:
+        match fact:
+            case UpstreamLeaving(upstream=upstream, age=age):
+                return self.membership.mark_leaving(upstream, now, age)
+        return self.quarantine.merge(fact, now)
+
     def _fire(self, timer: str, now: float) -> list[Action]:
         if timer.startswith("answer-"):
             return self.answers.fire(timer, now)
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
+            actions.extend(self.membership.tick(now))
+            self.quarantine.tick(now)
+            self.answers.tick(now)
             return actions
+        if timer == GOSSIP_TIMER:
+            return self.gossip.fire(now)
+        if timer == QUARANTINE_TIMER:
+            return self.quarantine.fire(now)
         return []
 
     def _stop(self, now: float) -> list[Action]:
--- /dev/null
+++ b/src/tarragonrudder/core/passage.py
@@ -0,0 +1,46 @@
+"""When tokens last passed each stage and link at their usual pace."""
+
+from tarragonrudder.core.chain import Chain
+
+MAX_AGE = 30.0  # seconds
+
+
+class Passages:
+    """Passages of all answers of this node, to name what slows one of them."""
+
+    def __init__(self) -> None:
+        self._stages: dict[str, float] = {}
+        self._links: dict[tuple[str, str], float] = {}
+
+    def record(self, chain: Chain, now: float) -> None:
+        """Note that a token passed a whole chain at its usual pace."""
+        names = chain.upstreams
+        for name in names:
+            self._stages[name] = now
+        for link in zip(names, names[1:], strict=False):
+            self._links[link] = now
+
+    def find_blamed(self, chain: Chain, since: float) -> frozenset[str]:
+        """Return the stages to replace in a chain that is slow since a time.
+
+        A stage or link that other answers passed after `since` is not at
+        fault. A link is replaced together with the stage behind it.
+        """
+        names = chain.upstreams
+        stages = [name for name in names if self._stages.get(name, since) <= since]
+        if stages:
+            return frozenset(stages)
+        behind = []
+        for source, target in zip(names, names[1:], strict=False):
+            if self._links.get((source, target), since) <= since:
+                behind.append(target)
+        return frozenset(behind or names)
+
+    def tick(self, now: float) -> None:
+        """Forget old passages."""
+        for name, at in list(self._stages.items()):
+            if now - at > MAX_AGE:
+                del self._stages[name]
+        for link, at in list(self._links.items()):
+            if now - at > MAX_AGE:
+                del self._links[link]
--- a/src/tarragonrudder/core/quarantine.py
+++ b/src/tarragonrudder/core/quarantine.py
@@ -1,42 +1,249 @@
-"""Requests that crash the upstreams that run them."""
+"""Requests that crash the upstreams that run them.
 
-from tarragonrudder.core.action import Action, LogDecision, SendPeer
-from tarragonrudder.core.message import FingerprintBlocked
+All requests that ran on a crashed upstream are suspects. They run again apart
+from one another; one that is alone on a second crashed upstream is blocked.
+"""
+
+from dataclasses import dataclass, field
+
+from tarragonrudder.core.action import Action, LogDecision, SetTimer
+from tarragonrudder.core.gossip import Gossip
+from tarragonrudder.core.message import (
+    CrashNoted,
+    FingerprintBlocked,
+    SuspectPlaced,
+)
 
 QUARANTINE_PERIOD = 300.0  # seconds that a fingerprint is refused
+SUSPECT_PERIOD = 60.0  # seconds after a crash
+PLACED_PERIOD = 20.0  # seconds that a peer's word of a placement holds
+HEARING_DELAY = 0.25  # seconds in which peers' word of the same crash comes
+EXPLAINED_PERIOD = 2.0  # seconds around a block in which a crash is explained
+CLEARING_TOKENS = 8  # tokens on a new chain that clear a suspect
 CRASHES_TO_BLOCK = 2
+MAX_SUSPECTS = 4096
+MAX_BLOCKED = 4096
+KEY_LENGTH = 32  # hexadecimal digits of a fingerprint that are compared
+TIMER = "quarantine"
+
+
+@dataclass(slots=True)
+class _Suspect:
+    crashes: dict[str, float] = field(default_factory=dict)
+    strong: set[str] = field(default_factory=set)
+    placed: frozenset[str] = frozenset()
+    placed_at: float = 0.0
+    resolve_at: float | None = None
+    isolated: bool = False
 
 
 class Quarantine:
-    """Counts crashes by fingerprint and refuses the ones that repeat."""
+    """Suspected and blocked fingerprints, by own crashes and peers' word."""
 
-    def __init__(self) -> None:
-        self._crashes: dict[str, int] = {}
-        self._blocked_until: dict[str, float] = {}
+    def __init__(self, gossip: Gossip) -> None:
+        self._gossip = gossip
+        self._suspects: dict[str, _Suspect] = {}
+        self._blocked_since: dict[str, float] = {}
+        self._newly_blocked: list[str] = []
+        # Relayed word of an older crash must not renew an ended suspicion.
+        self._cleared_at: dict[str, float] = {}
+        self._explained_at: dict[str, float] = {}
 
     def check(self, fingerprint: str, now: float) -> float:
         """Return the seconds for which a fingerprint is refused, 0 if not."""
-        return max(0.0, self._blocked_until.get(fingerprint, 0.0) - now)
+        since = self._blocked_since.get(fingerprint[:KEY_LENGTH])
+        if since is None:
+            return 0.0
+        return max(0.0, since + QUARANTINE_PERIOD - now)
+
+    def measure_delay(self, fingerprint: str, now: float) -> float:
+        """Return the seconds for which a fingerprint must not be started yet."""
+        suspect = self._suspects.get(fingerprint[:KEY_LENGTH])
+        if suspect is None:
+            return 0.0
+        if suspect.resolve_at is not None:
+            return max(0.0, suspect.resolve_at - now)
+        if not suspect.strong:
+            return 0.0
+        return max(0.0, max(suspect.crashes.values()) + HEARING_DELAY - now)
+
+    def find_occupied(self, fingerprint: str, now: float) -> frozenset[str]:
+        """Return the upstreams that a suspect had better not share."""
+        key = fingerprint[:KEY_LENGTH]
+        if key not in self._suspects:
+            return frozenset()
+        names: set[str] = set()
+        for other, suspect in self._suspects.items():
+            if other != key and suspect.placed_at + PLACED_PERIOD > now:
+                names |= suspect.placed
+        return frozenset(names)
+
+    def is_isolated(self, fingerprint: str) -> bool:
+        """Whether a suspect must give up the stages that others share."""
+        suspect = self._suspects.get(fingerprint[:KEY_LENGTH])
+        return suspect is not None and suspect.isolated
+
+    def place(
+        self, fingerprint: str, upstreams: frozenset[str], now: float
+    ) -> list[Action]:
+        """Note on which upstreams a suspect runs again."""
+        key = fingerprint[:KEY_LENGTH]
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return []
+        suspect.placed = upstreams
+        suspect.placed_at = now
+        fact = SuspectPlaced(key, tuple(sorted(upstreams)), 0.0)
+        return self._gossip.spread(f"placed:{key}", fact, now)
+
+    def clear(self, fingerprint: str, now: float) -> None:
+        """End the suspicion of a request that ran on without a crash."""
+        key = fingerprint[:KEY_LENGTH]
+        if self._suspects.pop(key, None) is not None:
+            self._cleared_at[key] = now
 
     def record_crash(
-        self, fingerprint: str, peers: tuple[str, ...], now: float
+        self, fingerprint: str, upstream: str, strong: bool, now: float
     ) -> list[Action]:
         """Count a crash of an upstream that ran this fingerprint."""
-        count = self._crashes.get(fingerprint, 0) + 1
-        self._crashes[fingerprint] = count
-        if count < CRASHES_TO_BLOCK:
+        key = fingerprint[:KEY_LENGTH]
+        return self._merge_crash(CrashNoted(key, upstream, strong, 0.0), now)
+
+    def merge(
+        self, fact: CrashNoted | SuspectPlaced | FingerprintBlocked, now: float
+    ) -> list[Action]:
+        """Take in another node's word, and pass it on if it is new."""
+        match fact:
+            case CrashNoted():
+                return self._merge_crash(fact, now)
+            case SuspectPlaced():
+                return self._merge_placed(fact, now)
+            case FingerprintBlocked():
+                return self._block(fact, now)
+
+    def fire(self, now: float) -> list[Action]:
+        """Name the requests whose second crash was heard out."""
+        due = {}
+        for key, suspect in self._suspects.items():
+            if suspect.resolve_at is not None and suspect.resolve_at <= now:
+                due[key] = suspect
+        actions: list[Action] = []
+        for key in _name_culprits(due):
+            fact = FingerprintBlocked(key, tuple(due[key].crashes), 0.0)
+            actions.extend(self._block(fact, now))
+        for key in due.keys() & self._suspects.keys():
+            self._suspects[key].resolve_at = None
+            self._suspects[key].isolated = True
+        return actions
+
+    def take_blocked(self) -> list[str]:
+        """Return the keys of fingerprints that were blocked since the last call."""
+        blocked = self._newly_blocked
+        self._newly_blocked = []
+        return blocked
+
+    def tick(self, now: float) -> None:
+        """Forget what has ended."""
+        for key, suspect in list(self._suspects.items()):
+            if max(suspect.crashes.values()) + SUSPECT_PERIOD <= now:
+                del self._suspects[key]
+        for key, since in list(self._blocked_since.items()):
+            if since + QUARANTINE_PERIOD <= now:
+                del self._blocked_since[key]
+        for ended in (self._cleared_at, self._explained_at):
+            for key, at in list(ended.items()):
+                if at + SUSPECT_PERIOD <= now:
+                    del ended[key]
+
+    def __len__(self) -> int:
+        return len(self._suspects) + len(self._blocked_since)
+
+    def _merge_crash(self, fact: CrashNoted, now: float) -> list[Action]:
+        key = fact.fingerprint[:KEY_LENGTH]
+        if key in self._blocked_since or self._has_ended(fact, now):
+            return []
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            self._make_room()
+            suspect = self._suspects[key] = _Suspect()
+        if fact.upstream in suspect.crashes:
+            return []
+        suspect.crashes[fact.upstream] = now - fact.age
+        suspect.placed = frozenset()
+        if fact.strong:
+            suspect.strong.add(fact.upstream)
+        name = f"crash:{key}:{fact.upstream}"
+        actions = self._gossip.spread(name, fact, now)
+        if len(suspect.crashes) >= CRASHES_TO_BLOCK:
+            suspect.resolve_at = now + HEARING_DELAY
+            actions.append(SetTimer(TIMER, suspect.resolve_at))
+        return actions
+
+    def _merge_placed(self, fact: SuspectPlaced, now: float) -> list[Action]:
+        suspect = self._suspects.get(fact.fingerprint[:KEY_LENGTH])
+        placed_at = now - fact.age
+        if suspect is None or placed_at <= suspect.placed_at + HEARING_DELAY:
+            return []
+        suspect.placed = frozenset(fact.upstreams)
+        suspect.placed_at = placed_at
+        return self._gossip.spread(f"placed:{fact.fingerprint}", fact, now)
+
+    def _block(self, fact: FingerprintBlocked, now: float) -> list[Action]:
+        key = fact.fingerprint[:KEY_LENGTH]
+        if key in self._blocked_since or fact.age >= QUARANTINE_PERIOD:
             return []
-        self._blocked_until[fingerprint] = now + QUARANTINE_PERIOD
-        actions: list[Action] = [
-            LogDecision("fingerprint_blocked", {"fingerprint": fingerprint})
-        ]
-        for peer in peers:
-            message = FingerprintBlocked(fingerprint, QUARANTINE_PERIOD)
-            actions.append(SendPeer(peer, message))
+        if len(self._blocked_since) >= MAX_BLOCKED:
+            del self._blocked_since[next(iter(self._blocked_since))]
+        self._blocked_since[key] = now - fact.age
+        self._newly_blocked.append(key)
+        self._suspects.pop(key, None)
+        self._absolve(frozenset(fact.upstreams), now - fact.age)
+        fields = {"fingerprint": key, "upstreams": list(fact.upstreams)}
+        actions: list[Action] = [LogDecision("fingerprint_blocked", fields)]
+        actions.extend(self._gossip.spread(f"blocked:{key}", fact, now))
         return actions
 
-    def merge(self, message: FingerprintBlocked, now: float) -> None:
-        """Take in another node's word."""
-        until = now + min(message.remaining, QUARANTINE_PERIOD)
-        known = self._blocked_until.get(message.fingerprint, 0.0)
-        self._blocked_until[message.fingerprint] = max(known, until)
+    def _has_ended(self, fact: CrashNoted, now: float) -> bool:
+        """Tell whether a crash's suspicion is over, or explained by another."""
+        at = now - fact.age
+        explained = self._explained_at.get(fact.upstream)
+        if explained is not None and abs(at - explained) < EXPLAINED_PERIOD:
+            return True
+        cleared = self._cleared_at.get(fact.fingerprint, -SUSPECT_PERIOD)
+        return fact.age >= SUSPECT_PERIOD or at <= cleared
+
+    def _absolve(self, explained: frozenset[str], at: float) -> None:
+        """Drop crashes that a blocked request explains."""
+        for upstream in explained:
+            self._explained_at[upstream] = at
+        for key, suspect in list(self._suspects.items()):
+            for upstream in explained & suspect.crashes.keys():
+                del suspect.crashes[upstream]
+            if not suspect.crashes:
+                del self._suspects[key]
+            elif len(suspect.crashes) < CRASHES_TO_BLOCK:
+                suspect.resolve_at = None
+
+    def _make_room(self) -> None:
+        if len(self._suspects) >= MAX_SUSPECTS:
+            del self._suspects[next(iter(self._suspects))]
+
+
+def _name_culprits(due: dict[str, _Suspect]) -> list[str]:
+    """Return the suspects that no other suspect can excuse.
+
+    Suspects that share their last crashed upstream excuse one another, but
+    for a single one of which no token had come when it crashed.
+    """
+    culprits = []
+    for key, suspect in due.items():
+        last = _find_last(suspect)
+        rivals = [other for other, item in due.items() if last in item.crashes]
+        strong = [other for other in rivals if last in due[other].strong]
+        if rivals == [key] or strong == [key]:
+            culprits.append(key)
+    return culprits
+
+
+def _find_last(suspect: _Suspect) -> str:
+    return max(suspect.crashes, key=lambda upstream: suspect.crashes[upstream])
--- a/src/tarragonrudder/edges/engine.py
+++ b/src/tarragonrudder/edges/engine.py
@@ -60,7 +60,11 @@
 
     async def cancel(self, action: CancelAttempt) -> None:
         """Tell the head to drop an attempt; a lost message does no harm."""
-        body = {"request": action.request, "attempt": action.attempt}
+        body = {
+            "request": action.request,
+            "attempt": action.attempt,
+            "keep_cache": action.keep_cache,
+        }
         try:
             await self._client.post(
                 action.chain.hops[0].address + "/v1/cancel",
--- a/src/tarragonrudder/edges/peer.py
+++ b/src/tarragonrudder/edges/peer.py
@@ -8,6 +8,7 @@
 
 import httpx
 import orjson
+from pydantic import TypeAdapter
 from quart import Response, request
 from quart_trio import QuartTrio
 
@@ -20,7 +21,7 @@
 MAX_MESSAGE_BYTES = 256 * 1024
 MAX_AGE = 30.0  # seconds between sending and arrival
 SIGNATURE_HEADER = "x-tarragonrudder-signature"
-_TYPES = {kind.__name__: kind for kind in MESSAGES}
+_TYPES = {kind.__name__: TypeAdapter(kind) for kind in MESSAGES}
 
 
 def encode_message(node: str, message: Message, sent_at: float) -> bytes:
@@ -57,7 +58,7 @@
         if abs(now - float(item["sent_at"])) > MAX_AGE:
             raise PeerRefused("the message is stale; set the VMs' clocks")
         kind = _TYPES[item["kind"]]
-        return PeerReached(str(item["node"]), kind(**item["fields"]))
+        return PeerReached(str(item["node"]), kind.validate_python(item["fields"]))
     except (ValueError, KeyError, TypeError) as error:
         raise PeerRefused(f"not understood: {error}; upgrade the older node") from error
 
