--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -9,24 +9,20 @@
     FailAnswer,
     LogDecision,
     SetTimer,
-    StartAttempt,
 )
 from tarragonrudder.core.admission import Ticket
 from tarragonrudder.core.assembly import Assembly, TokenFault
-from tarragonrudder.core.attempt import Answer
+from tarragonrudder.core.attempt import Answer, describe_attempt, make_attempt
 from tarragonrudder.core.budget import RetryBudget
 from tarragonrudder.core.diagnosis import PROBE_TIMEOUT, Diagnosis, Finding
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
     ChatRequested,
-    Crashed,
     Failure,
     Malformed,
-    Refused,
     Stalled,
     TokensArrived,
-    Unreachable,
     UpstreamProbed,
 )
 from tarragonrudder.core.fleet import Engine
@@ -34,17 +30,16 @@
 from tarragonrudder.core.pace import MIN_GAPS, SLOW_FACTOR, Pace
 from tarragonrudder.core.passage import Passages
 from tarragonrudder.core.quarantine import CLEARING_TOKENS, Quarantine
-from tarragonrudder.core.recovery import Plan, Recovery
-from tarragonrudder.core.selection import Selector
-from tarragonrudder.errors import (
-    DeadlineExceeded,
-    NoChain,
-    Problem,
-    Quarantined,
-    UpstreamFailed,
+from tarragonrudder.core.recovery import Later, Plan, Recovery
+from tarragonrudder.core.refusal import (
+    refuse_blocked,
+    refuse_late,
+    refuse_rejected,
+    refuse_unreachable,
 )
+from tarragonrudder.core.selection import Selector
+from tarragonrudder.errors import Problem
 
-NO_CHAIN_RETRY_AFTER = 5.0  # seconds
 NO_CHAIN_WAIT = 10.0  # seconds for which a chain is waited for
 NO_CHAIN_PERIOD = 0.2  # seconds between looks for a chain
 BUDGET_PERIOD = 0.1  # seconds between looks at the retry budget
@@ -167,8 +162,7 @@
         for answer in list(self._answers.values()):
             if self._quarantine.check(answer.chat.fingerprint, now) <= 0:
                 continue
-            actions.extend(self._stop_attempt(answer))
-            actions.extend(self._fail(answer, self._describe_block(answer, now)))
+            actions.extend(self._give_up(answer, self._describe_block(answer, now)))
         return actions
 
     def fire(self, timer: str, now: float) -> list[Action]:
@@ -178,12 +172,7 @@
         if answer is None:
             return []
         if kind == "answer-deadline":
-            problem = DeadlineExceeded(
-                "the answer was not whole in time; send it again", answer.run_state, 1.0
-            )
-            actions = self._stop_attempt(answer)
-            actions.extend(self._fail(answer, problem))
-            return actions
+            return self._give_up(answer, refuse_late(answer.run_state))
         if kind == "answer-retry":
             return self._go_on(answer, now) if answer.chain is None else []
         return self._suspect_stall(answer, now)
@@ -270,57 +259,27 @@
     def _break_off(
         self, answer: Answer, failure: Failure, upstream: str | None, now: float
     ) -> list[Action]:
-        actions = self._note_failure(answer, failure, upstream, now)
+        actions = self._recovery.note_failure(answer, failure, upstream, now)
         actions.extend(self._stop_attempt(answer, keep_cache=True))
         answer.end_attempt(failure, upstream)
         actions.append(ClearTimer(f"answer-stall:{answer.request}"))
         if len(answer.rejected) >= MAX_REJECTIONS and not answer.ran:
-            problem = UpstreamFailed(
-                "upstreams reject the request; check its options", answer.run_state
-            )
-            actions.extend(self._fail(answer, problem))
+            actions.extend(self._give_up(answer, refuse_rejected(answer.run_state)))
             return actions
         actions.extend(self._go_on(answer, now, answer.backoff))
         return actions
 
-    def _note_failure(
-        self, answer: Answer, failure: Failure, upstream: str | None, now: float
-    ) -> list[Action]:
-        fields = {
-            "request": answer.request,
-            "attempt": answer.attempt,
-            "failure": type(failure).__name__,
-            "upstream": upstream,
-        }
-        actions: list[Action] = [LogDecision("attempt_failed", fields)]
-        if upstream is None:
-            return actions
-        match failure:
-            case Refused(leaving=True):
-                actions.extend(self._membership.mark_leaving(upstream, now))
-            case Refused() | Malformed():
-                # The request may be at fault, so that others may go on there.
-                answer.rejected.add(upstream)
-            case Crashed():
-                actions.extend(self._membership.mark_failed(upstream, now))
-                fingerprint = answer.chat.fingerprint
-                strong = answer.fresh == 0
-                actions.extend(
-                    self._quarantine.record_crash(fingerprint, upstream, strong, now)
-                )
-            case Unreachable() | Stalled():
-                actions.extend(self._membership.mark_failed(upstream, now))
-        return actions
-
     def _go_on(self, answer: Answer, now: float, backoff: float = 0.0) -> list[Action]:
         """Start the next attempt as soon as it may start."""
         fingerprint = answer.chat.fingerprint
         if self._quarantine.check(fingerprint, now) > 0:
-            return self._fail(answer, self._describe_block(answer, now))
+            return self._give_up(answer, self._describe_block(answer, now))
         delay = max(backoff, self._quarantine.measure_delay(fingerprint, now))
         if delay > 0:
             return [self._retry_later(answer, delay, now)]
         plan = self._recovery.plan(answer, now)
+        if isinstance(plan, Later):
+            return [self._retry_later(answer, plan.delay, now)]
         if plan is None or not self._recovery.check(answer, plan.chain, now):
             return self._await_chain(answer, now)
         if not self._recovery.pay(plan, now):
@@ -338,12 +297,7 @@
         expected = answer.ran or self._recovery.is_chain_expected(answer, now)
         if expected and waited < NO_CHAIN_WAIT:
             return [self._retry_later(answer, NO_CHAIN_PERIOD, now)]
-        problem = NoChain(
-            "no live upstreams hold all layers; come back later",
-            answer.run_state,
-            NO_CHAIN_RETRY_AFTER,
-        )
-        return self._fail(answer, problem)
+        return self._give_up(answer, refuse_unreachable(answer.run_state))
 
     def _move(self, answer: Answer, now: float) -> list[Action]:
         """Leave a slow chain for another; empty if there is none or no budget."""
@@ -351,9 +305,11 @@
             return []
         blamed = self._passages.find_blamed(answer.chain, answer.healthy_at)
         plan = self._recovery.plan(answer, now, blamed)
-        if plan is None or not self._recovery.check(answer, plan.chain, now):
+        if not isinstance(plan, Plan) or blamed & set(plan.chain.upstreams):
+            return []
+        if not self._recovery.check(answer, plan.chain, now):
             return []
-        if blamed & set(plan.chain.upstreams) or not self._recovery.pay(plan, now):
+        if not self._recovery.pay(plan, now):
             return []
         answer.moved_at = now
         fields = {"request": answer.request, "blamed": sorted(blamed)}
@@ -366,42 +322,20 @@
         return actions
 
     def _dispatch(self, answer: Answer, plan: Plan, now: float) -> list[Action]:
-        chat = answer.chat
-        emitted = tuple(answer.assembly.emitted)
         answer.start(plan.chain, now)
         self._selector.start(plan.chain)
-        fields = {
-            "request": chat.request,
-            "attempt": answer.attempt,
-            "chain": plan.chain.describe(),
-            "position": len(emitted),
-            "work": round(plan.work, 1),
-        }
-        actions: list[Action] = [LogDecision("chain_chosen", fields)]
-        actions.extend(self._quarantine.place(chat.fingerprint, plan.placed, now))
-        actions.append(
-            StartAttempt(
-                chat.request,
-                answer.attempt,
-                plan.chain,
-                chat.prompt,
-                chat.options,
-                emitted,
-                chat.max_tokens,
-                int(answer.ticket.arrived * 1e6),
-                answer.ticket.priority.level,
-            )
-        )
+        actions: list[Action] = [
+            describe_attempt(answer, plan.chain, plan.work),
+            make_attempt(answer, plan.chain),
+        ]
+        fingerprint = answer.chat.fingerprint
+        actions.extend(self._quarantine.place(fingerprint, plan.placed, now))
         actions.append(self._await_token(answer, answer.pace.stall_timeout, now))
         return actions
 
     def _describe_block(self, answer: Answer, now: float) -> Problem:
         remaining = self._quarantine.check(answer.chat.fingerprint, now)
-        return Quarantined(
-            "this request crashed upstreams; change it or wait",
-            answer.run_state,
-            remaining,
-        )
+        return refuse_blocked(remaining, answer.run_state)
 
     def _stop_attempt(self, answer: Answer, keep_cache: bool = False) -> list[Action]:
         self._diagnosis.forget(answer.request)
@@ -422,8 +356,9 @@
         actions.extend(self._forget(answer))
         return actions
 
-    def _fail(self, answer: Answer, problem: Problem) -> list[Action]:
-        actions: list[Action] = [FailAnswer(answer.request, problem)]
+    def _give_up(self, answer: Answer, problem: Problem) -> list[Action]:
+        actions = self._stop_attempt(answer)
+        actions.append(FailAnswer(answer.request, problem))
         actions.extend(self._forget(answer))
         return actions
 
--- a/src/tarragonrudder/core/attempt.py
+++ b/src/tarragonrudder/core/attempt.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from tarragonrudder.core.action import LogDecision, StartAttempt
 from tarragonrudder.core.admission import Ticket
 from tarragonrudder.core.assembly import Assembly
 from tarragonrudder.core.chain import Chain
@@ -58,6 +59,7 @@
     healthy_at: float = 0.0
     moved_at: float = float("-inf")
     waits_since: float | None = None
+    apart_since: float | None = None
 
     @property
     def request(self) -> str:
@@ -93,6 +95,7 @@
         self.fresh = 0
         self.started_at = self.healthy_at = now
         self.waits_since = None
+        self.apart_since = None
         self.assembly.restart()
         self.pace.restart(now)
 
@@ -113,3 +116,31 @@
         # A later stage refuses only after the head has run its layers.
         at_head = upstream == self.chain.upstreams[0]
         return at_head and isinstance(failure, Unreachable | Refused)
+
+
+def make_attempt(answer: Answer, chain: Chain) -> StartAttempt:
+    """Return the action that sends the current attempt to its chain."""
+    chat = answer.chat
+    return StartAttempt(
+        chat.request,
+        answer.attempt,
+        chain,
+        chat.prompt,
+        chat.options,
+        tuple(answer.assembly.emitted),
+        chat.max_tokens,
+        int(answer.ticket.arrived * 1e6),
+        answer.ticket.priority.level,
+    )
+
+
+def describe_attempt(answer: Answer, chain: Chain, work: float) -> LogDecision:
+    """Return the log line of the current attempt; `work` is its extra work."""
+    fields = {
+        "request": answer.request,
+        "attempt": answer.attempt,
+        "chain": chain.describe(),
+        "position": len(answer.assembly.emitted),
+        "work": round(work, 1),
+    }
+    return LogDecision("chain_chosen", fields)
--- a/src/tarragonrudder/core/membership.py
+++ b/src/tarragonrudder/core/membership.py
@@ -1,5 +1,6 @@
 """Which upstreams may get new work, and which nodes are alive."""
 
+import zlib
 from dataclasses import dataclass
 
 from tarragonrudder.core.action import Action, LogDecision, ProbeUpstream
@@ -125,6 +126,18 @@
                 del self._slow_until[name]
         return actions
 
+    def find_shared_out(self) -> frozenset[str]:
+        """Return the engines that are other nodes' share for suspects."""
+        names = [node.name for node in self._nodes]
+        if self._name not in names:
+            return frozenset()
+        own = names.index(self._name)
+        shared = []
+        for engine in self._engines:
+            if zlib.crc32(engine.encode()) % len(names) != own:
+                shared.append(engine)
+        return frozenset(shared)
+
     def unusable(self, now: float) -> frozenset[str]:
         """Return the upstreams that must get no new work."""
         return self.leaving(now) | self._failed.keys()
--- a/src/tarragonrudder/core/quarantine.py
+++ b/src/tarragonrudder/core/quarantine.py
@@ -19,7 +19,7 @@
 PLACED_PERIOD = 20.0  # seconds that a peer's word of a placement holds
 HEARING_DELAY = 0.25  # seconds in which peers' word of the same crash comes
 EXPLAINED_PERIOD = 2.0  # seconds around a block in which a crash is explained
-CLEARING_TOKENS = 8  # tokens on a new chain that clear a suspect
+CLEARING_TOKENS = 3  # tokens on a new chain that clear a suspect
 CRASHES_TO_BLOCK = 2
 MAX_SUSPECTS = 4096
 MAX_BLOCKED = 4096
@@ -78,6 +78,10 @@
                 names |= suspect.placed
         return frozenset(names)
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether a fingerprint has to run apart."""
+        return fingerprint[:KEY_LENGTH] in self._suspects
+
     def is_isolated(self, fingerprint: str) -> bool:
         """Whether a suspect must give up the stages that others share."""
         suspect = self._suspects.get(fingerprint[:KEY_LENGTH])
--- a/src/tarragonrudder/core/recovery.py
+++ b/src/tarragonrudder/core/recovery.py
@@ -3,6 +3,7 @@
 import typing as t
 from dataclasses import dataclass, replace
 
+from tarragonrudder.core.action import Action, LogDecision
 from tarragonrudder.core.attempt import Answer
 from tarragonrudder.core.budget import RetryBudget
 from tarragonrudder.core.chain import (
@@ -12,12 +13,31 @@
     check_chain,
     count_replayed_layers,
 )
+from tarragonrudder.core.event import (
+    Crashed,
+    Failure,
+    Malformed,
+    Refused,
+    Stalled,
+    Unreachable,
+)
 from tarragonrudder.core.fleet import Engine
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Need, Selector
 from tarragonrudder.errors import ChainError
 
+APART_WAIT = 0.7  # seconds for which a suspect waits for stages of its own
+OWN_WAIT = 0.35  # seconds in which a suspect keeps to its node's own share
+APART_PERIOD = 0.03  # seconds between looks for such stages
+
+
+@dataclass(frozen=True, slots=True)
+class Later:
+    """Nothing is free for a suspect now; `delay` is in seconds."""
+
+    delay: float
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
@@ -58,32 +78,31 @@
 
     def plan(
         self, answer: Answer, now: float, blamed: frozenset[str] = frozenset()
-    ) -> Plan | None:
+    ) -> Plan | Later | None:
         """Return a chain for the next attempt, or None if there is none."""
-        fingerprint = answer.chat.fingerprint
         held = answer.chain or answer.previous
-        alive = frozenset(answer.alive)
+        alive = answer.alive
         if answer.chain is not None:
             alive = frozenset(answer.chain.upstreams) - blamed
-        avoided = self._quarantine.find_occupied(fingerprint, now)
-        if self._quarantine.is_isolated(fingerprint):
-            held = None
-        elif held is not None:
-            # These stages have run it already without a crash.
-            avoided -= alive
+        if self._quarantine.is_isolated(answer.chat.fingerprint):
+            held, alive = None, frozenset()
         need = Need(
             answer.ticket.model,
-            fingerprint,
+            answer.chat.fingerprint,
             self._membership.unusable(now) | answer.rejected,
-            avoided | blamed | self._membership.slow(now),
+            blamed | self._membership.slow(now),
             held,
         )
-        chain = self._choose(need, now)
+        apart = self._find_apart(answer, alive, now)
+        chain = self._choose(replace(need, excluded=need.excluded | apart), now)
+        if chain is None and apart:
+            if now - (answer.apart_since or now) < APART_WAIT:
+                return Later(APART_PERIOD)
+            chain = self._choose(need, now)
         if chain is None:
             return None
         emitted = len(answer.assembly.emitted)
-        attempt = answer.attempt
-        chain = assign_caches(chain, held, attempt, emitted, alive)
+        chain = assign_caches(chain, held, answer.attempt, emitted, alive)
         return Plan(chain, self._measure(answer, chain), _find_placed(chain))
 
     def check(self, answer: Answer, chain: Chain, now: float) -> bool:
@@ -110,6 +129,36 @@
         need = Need(answer.ticket.model, answer.chat.fingerprint, leaving)
         return self._selector.choose(need, now) is not None
 
+    def note_failure(
+        self, answer: Answer, failure: Failure, upstream: str | None, now: float
+    ) -> list[Action]:
+        """Note what a failed attempt says about an upstream."""
+        fields = {
+            "request": answer.request,
+            "attempt": answer.attempt,
+            "failure": type(failure).__name__,
+            "upstream": upstream,
+        }
+        actions: list[Action] = [LogDecision("attempt_failed", fields)]
+        if upstream is None:
+            return actions
+        match failure:
+            case Refused(leaving=True):
+                actions.extend(self._membership.mark_leaving(upstream, now))
+            case Refused() | Malformed():
+                # The request may be at fault, so that others may go on there.
+                answer.rejected.add(upstream)
+            case Crashed():
+                actions.extend(self._membership.mark_failed(upstream, now))
+                fingerprint = answer.chat.fingerprint
+                strong = answer.fresh == 0
+                actions.extend(
+                    self._quarantine.record_crash(fingerprint, upstream, strong, now)
+                )
+            case Unreachable() | Stalled():
+                actions.extend(self._membership.mark_failed(upstream, now))
+        return actions
+
     def _choose(self, need: Need, now: float) -> Chain | None:
         if need.avoided:
             strict = replace(need, excluded=need.excluded | need.avoided)
@@ -118,6 +167,23 @@
                 return chain
         return self._selector.choose(need, now)
 
+    def _find_apart(
+        self, answer: Answer, alive: frozenset[str], now: float
+    ) -> frozenset[str]:
+        """Return the upstreams that a suspect must not be sent to."""
+        fingerprint = answer.chat.fingerprint
+        if not self._quarantine.is_suspect(fingerprint):
+            return frozenset()
+        if answer.apart_since is None:
+            answer.apart_since = now
+        names = self._quarantine.find_occupied(fingerprint, now)
+        if now - answer.apart_since < OWN_WAIT:
+            # Peers' placements are not all known yet: keep to a share of the
+            # upstreams that no other node uses for its suspects.
+            names |= self._membership.find_shared_out()
+        # The stages that are alive have run it already without a crash.
+        return names - alive
+
     def _measure(self, answer: Answer, chain: Chain) -> float:
         if answer.attempt == 0 or not (answer.in_doubt or answer.chain is not None):
             return 0.0
--- /dev/null
+++ b/src/tarragonrudder/core/refusal.py
@@ -0,0 +1,42 @@
+"""Typed errors that end a model answer."""
+
+from tarragonrudder.errors import (
+    DeadlineExceeded,
+    NoChain,
+    Quarantined,
+    RunState,
+    UpstreamFailed,
+)
+
+NO_CHAIN_RETRY_AFTER = 5.0  # seconds
+DEADLINE_RETRY_AFTER = 1.0  # seconds
+
+
+def refuse_blocked(remaining: float, state: RunState) -> Quarantined:
+    """Return the error of a fingerprint that is refused for a period."""
+    return Quarantined(
+        "this request crashed upstreams; change it or wait", state, remaining
+    )
+
+
+def refuse_unreachable(state: RunState) -> NoChain:
+    """Return the error of a request for which there is no chain."""
+    return NoChain(
+        "no live upstreams hold all layers; come back later",
+        state,
+        NO_CHAIN_RETRY_AFTER,
+    )
+
+
+def refuse_late(state: RunState) -> DeadlineExceeded:
+    """Return the error of an answer that missed its deadline."""
+    return DeadlineExceeded(
+        "the answer was not whole in time; send it again",
+        state,
+        DEADLINE_RETRY_AFTER,
+    )
+
+
+def refuse_rejected(state: RunState) -> UpstreamFailed:
+    """Return the error of a request that several upstreams reject."""
+    return UpstreamFailed("upstreams reject the request; check its options", state)
--- /dev/null
+++ b/tests/judge.py
@@ -0,0 +1,185 @@
+"""Judges a run from the stand-ins' journals and the callers' receipts alone."""
+
+import collections
+import typing as t
+from dataclasses import dataclass, field
+
+from tests.standins.model import expect_answer
+
+Entry: t.TypeAlias = t.Mapping[str, t.Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The answer came with its terminator."""
+
+    finish_reason: str = "length"
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The answer ended with a typed error."""
+
+    kind: str
+    run_state: str
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """The caller closed its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The node died, and the caller saw its connection break."""
+
+
+Ending: t.TypeAlias = Whole | Failed | Gone | Broken
+
+
+@dataclass(slots=True)
+class Receipt:
+    """What one caller asked for and got; `ending` is None while it waits."""
+
+    request: str
+    messages: t.Any
+    length: int
+    tokens: list[str] = field(default_factory=list)
+    ending: Ending | None = None
+
+
+def judge_layers(entries: t.Sequence[Entry], layer_count: int) -> list[str]:
+    """Find tokens whose layers did not run once each, in order."""
+    findings = []
+    next_layer: dict[tuple[str, int, int], int] = {}
+    last_position: dict[tuple[str, int], int] = {}
+    for entry in sorted(entries, key=lambda entry: entry["time"]):
+        if entry["kind"] != "layers":
+            continue
+        run = (entry["request"], entry["attempt"])
+        position = entry["position"]
+        expected = next_layer.get((*run, position), 0)
+        if entry["first"] != expected:
+            findings.append(f"{run} token {position}: layer {expected} is not next")
+        next_layer[(*run, position)] = entry["last"] + 1
+        before = last_position.get(run)
+        if before is not None and position != before:
+            whole = next_layer[(*run, before)] == layer_count
+            if position != before + 1 or not whole:
+                findings.append(f"{run} token {position} ran after {before}")
+        last_position[run] = position
+    return findings
+
+
+def judge_answers(
+    receipts: t.Iterable[Receipt], version: str, layer_count: int
+) -> list[str]:
+    """Find callers that got anything but their own answer, in order."""
+    findings = []
+    for receipt in receipts:
+        expected = expect_answer(receipt.messages, version, layer_count, receipt.length)
+        name = receipt.request
+        if receipt.tokens != expected[: len(receipt.tokens)]:
+            findings.append(f"{name} got tokens that are not its own")
+        if isinstance(receipt.ending, Whole) and receipt.tokens != expected:
+            findings.append(f"{name} got a terminator after a part")
+        if receipt.ending is None:
+            findings.append(f"{name} got neither terminator nor error")
+    return findings
+
+
+def judge_source(
+    entries: t.Sequence[Entry], receipts: t.Iterable[Receipt], layer_count: int
+) -> list[str]:
+    """Find tokens that a caller got although no attempt ran all layers."""
+    layers: collections.Counter[tuple[str, int, int]] = collections.Counter()
+    whole: set[tuple[str, int]] = set()
+    for entry in entries:
+        if entry["kind"] != "layers":
+            continue
+        key = (entry["request"], entry["attempt"], entry["position"])
+        layers[key] += entry["last"] - entry["first"] + 1
+        if layers[key] == layer_count:
+            whole.add((entry["request"], entry["position"]))
+    findings = []
+    for receipt in receipts:
+        for position in range(len(receipt.tokens)):
+            if (receipt.request, position) not in whole:
+                findings.append(f"{receipt.request} token {position} came from nowhere")
+    return findings
+
+
+def judge_not_run(
+    entries: t.Sequence[Entry], receipts: t.Iterable[Receipt]
+) -> list[str]:
+    """Find requests that ran although their caller was told otherwise."""
+    ran = {entry["request"] for entry in entries if entry["kind"] == "layers"}
+    findings = []
+    for receipt in receipts:
+        if not isinstance(receipt.ending, Failed):
+            continue
+        if receipt.ending.run_state == "not_run" and receipt.request in ran:
+            findings.append(f"{receipt.request} ran and was called not run")
+        if receipt.tokens and receipt.ending.run_state != "run":
+            findings.append(f"{receipt.request} gave tokens and was not called run")
+    return findings
+
+
+def judge_leaving(
+    entries: t.Sequence[Entry], left: t.Mapping[str, float], grace: float = 5.0
+) -> list[str]:
+    """Find new work on an upstream later than `grace` seconds after it left."""
+    findings = []
+    seen: set[tuple[str, str, int]] = set()
+    for entry in sorted(entries, key=lambda entry: entry["time"]):
+        if entry["kind"] != "layers":
+            continue
+        upstream = entry["upstream"]
+        work = (upstream, entry["request"], entry["attempt"])
+        new = work not in seen
+        seen.add(work)
+        if new and entry["time"] > left.get(upstream, float("inf")) + grace:
+            findings.append(f"{upstream} left and got {work[1:]}")
+    return findings
+
+
+def judge_crashes(entries: t.Sequence[Entry], limit: int = 2) -> list[str]:
+    """Find prompts that crashed more upstreams than `limit`."""
+    crashed: dict[str, set[str]] = {}
+    for entry in entries:
+        if entry["kind"] == "crashing":
+            name = str(entry["messages"])
+            crashed.setdefault(name, set()).add(entry["upstream"])
+    findings = []
+    for name, upstreams in crashed.items():
+        if len(upstreams) > limit:
+            findings.append(f"{name} crashed {sorted(upstreams)}")
+    return findings
+
+
+def measure_extra_work(entries: t.Sequence[Entry]) -> tuple[float, float]:
+    """Return the replayed and the generated work, in layers times tokens."""
+    extra = 0.0
+    load = 0.0
+    for entry in entries:
+        if entry["kind"] == "replayed":
+            extra += entry["work"]
+        if entry["kind"] == "layers":
+            load += entry["last"] - entry["first"] + 1
+    return extra, load
+
+
+def judge_all(
+    entries: t.Sequence[Entry],
+    receipts: t.Sequence[Receipt],
+    version: str,
+    layer_count: int,
+) -> list[str]:
+    """Return the findings about layers, answers and errors."""
+    return [
+        *judge_layers(entries, layer_count),
+        *judge_answers(receipts, version, layer_count),
+        *judge_source(entries, receipts, layer_count),
+        *judge_not_run(entries, receipts),
+    ]
--- /dev/null
+++ b/tests/standins/virtual.py
@@ -0,0 +1,262 @@
+"""Runs several cores and fake engines on one virtual clock.
+
+Everything the cores decide passes through ``Node.handle``; this module only
+carries out their actions, late or never where a fault is set.
+"""
+
+import hashlib
+import heapq
+import itertools
+import random
+import typing as t
+from dataclasses import dataclass, field
+
+import orjson
+
+from tarragonrudder.core import action as actions
+from tarragonrudder.core.event import (
+    CallerGone,
+    ChatRequested,
+    ConfigurationRead,
+    Event,
+    NodeAddress,
+    NodesListed,
+    PeerLost,
+    PeerReached,
+    PlatformFailed,
+    TimerFired,
+    VirtualMachine,
+    VmsListed,
+)
+from tarragonrudder.core.fleet import Configuration
+from tarragonrudder.core.node import Node, NodeOptions
+from tests.judge import Broken, Failed, Gone, Receipt, Whole
+from tests.standins.engines import EngineFleet
+
+NODE_DELAY = 0.0005  # seconds between a node and an upstream or a peer
+PLATFORM_DELAY = 0.005  # seconds
+Perturbation: t.TypeAlias = t.Callable[[Event], list[tuple[float, Event]]]
+
+
+@dataclass(slots=True)
+class _Member:
+    core: Node
+    state: str = "up"  # up, frozen or dead
+    timers: dict[str, int] = field(default_factory=dict)
+    held: list[t.Callable[[], None]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Caller:
+    """What one caller sent and got."""
+
+    node: str
+    messages: list[dict[str, str]]
+    receipt: Receipt
+    asked_at: float
+    times: list[float] = field(default_factory=list)
+    ended_at: float | None = None
+
+    @property
+    def longest_gap(self) -> float:
+        """Longest time between two tokens, in seconds."""
+        pairs = zip(self.times, self.times[1:], strict=False)
+        return max((later - sooner for sooner, later in pairs), default=0.0)
+
+
+class VirtualFleet:
+    """Nodes, engines and callers of one run; `seed` fixes every choice."""
+
+    def __init__(
+        self, configuration: Configuration, node_count: int = 3, seed: int = 0
+    ) -> None:
+        self.now = 100.0
+        self.journal: list[dict[str, t.Any]] = []
+        self.callers: dict[str, Caller] = {}
+        self.decisions: list[tuple[float, str, actions.LogDecision]] = []
+        self.peer_messages = 0
+        self.lose_peers = 0.0
+        self.partitioned = False
+        self.perturb: Perturbation | None = None
+        self.random = random.Random(seed)
+        self.configuration = configuration
+        self._queue: list[tuple[float, int, t.Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.engines = EngineFleet(self, configuration)
+        self.nodes: dict[str, _Member] = {}
+        names = [f"node-{index}" for index in range(node_count)]
+        self._addresses = tuple(NodeAddress(name, "", "dc-1") for name in names)
+        for name in names:
+            self.start_node(name)
+
+    def start_node(self, name: str) -> None:
+        """Start a node, or an empty one in its place."""
+        source = random.Random(self.random.random())
+        member = _Member(Node(NodeOptions(name, "dc-1"), source))
+        self.nodes[name] = member
+        self._carry_out(name, member.core.start(self.now))
+        self.deliver(name, ConfigurationRead(self.configuration))
+        self.deliver(name, NodesListed(self._addresses))
+
+    def schedule(self, delay: float, call: t.Callable[[], None]) -> None:
+        """Call a function after a delay in seconds."""
+        entry = (self.now + delay, next(self._order), call)
+        heapq.heappush(self._queue, entry)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._queue)
+            call()
+        self.now = end
+
+    def write(self, kind: str, **fields: t.Any) -> None:
+        """Append a journal entry."""
+        self.journal.append({"time": self.now, "kind": kind, **fields})
+
+    def deliver(self, name: str, event: Event) -> None:
+        """Give a node an event; a frozen one gets it when it wakes."""
+        member = self.nodes[name]
+        if member.state == "dead":
+            return
+        if member.state == "frozen":
+            member.held.append(lambda: self.deliver(name, event))
+            return
+        self._carry_out(name, member.core.handle(event, self.now))
+
+    def post(self, name: str, event: Event, delay: float = NODE_DELAY) -> None:
+        """Deliver an event of an upstream, through the set perturbation."""
+        parts = [(0.0, event)]
+        if self.perturb is not None:
+            parts = self.perturb(event)
+        for extra, part in parts:
+            self.schedule(delay + extra, lambda part=part: self.deliver(name, part))
+
+    def ask(self, node: str, text: str, length: int = 20) -> str:
+        """Ask a node for an answer; return the request's name."""
+        request = f"request-{len(self.callers) + 1}"
+        messages = [{"role": "user", "content": text}]
+        prompt = orjson.dumps(messages, option=orjson.OPT_SORT_KEYS)
+        fingerprint = hashlib.sha256(b"courts\0jury\0" + prompt).hexdigest()
+        receipt = Receipt(request, messages, length)
+        self.callers[request] = Caller(node, messages, receipt, self.now)
+        if self.nodes[node].state == "dead":
+            receipt.ending = Broken()
+            return request
+        event = ChatRequested(request, "courts", "jury", prompt, length, fingerprint)
+        self.deliver(node, event)
+        return request
+
+    def leave(self, request: str) -> None:
+        """Close a caller's connection."""
+        caller = self.callers[request]
+        if caller.receipt.ending is None:
+            caller.receipt.ending = Gone()
+            self.deliver(caller.node, CallerGone(request))
+
+    def kill_node(self, name: str) -> None:
+        """Kill a node; its callers' connections break."""
+        self.nodes[name].state = "dead"
+        for caller in self.callers.values():
+            if caller.node == name and caller.receipt.ending is None:
+                caller.receipt.ending = Broken()
+        self.engines.drop_node(name)
+
+    def freeze_node(self, name: str) -> None:
+        """Stop a node as SIGSTOP does."""
+        self.nodes[name].state = "frozen"
+
+    def wake_node(self, name: str) -> None:
+        """Let a frozen node go on; what waited for it comes at once."""
+        member = self.nodes[name]
+        member.state = "up"
+        held, member.held = member.held, []
+        for call in held:
+            call()
+
+    def list_vms(self, *leaving: str, nodes: t.Sequence[str] = ()) -> None:
+        """Give nodes, all by default, a new list of VMs."""
+        vms = []
+        for engine in self.configuration.engines:
+            away = engine.name in leaving
+            vms.append(VirtualMachine(engine.name, "", "dc-1", away))
+        for name in nodes or self.nodes:
+            self.deliver(name, VmsListed(tuple(vms)))
+
+    def _carry_out(self, name: str, decided: list[actions.Action]) -> None:
+        for action in decided:
+            self._carry_out_one(name, action)
+
+    def _carry_out_one(self, name: str, action: actions.Action) -> None:
+        match action:
+            case actions.StartAttempt():
+                self.schedule(NODE_DELAY, lambda: self.engines.start(name, action))
+            case actions.CancelAttempt():
+                self.schedule(NODE_DELAY, lambda: self.engines.cancel(action))
+            case actions.ProbeUpstream():
+                self.engines.probe(name, action)
+            case actions.EmitTokens() | actions.EndAnswer() | actions.FailAnswer():
+                self._receive(action)
+            case actions.SetTimer():
+                self._set_timer(name, action)
+            case actions.ClearTimer():
+                self.nodes[name].timers.pop(action.timer, None)
+            case actions.SendPeer():
+                self._send_peer(name, action)
+            case actions.LogDecision():
+                self.decisions.append((self.now, name, action))
+            case actions.ReadPlatform() | actions.SwapPlatform():
+                event = PlatformFailed(action.tag, action.key)
+                self.schedule(PLATFORM_DELAY, lambda: self.deliver(name, event))
+            case actions.GrantLease():
+                lost = PlatformFailed(action.tag, "")
+                self.schedule(PLATFORM_DELAY, lambda: self.deliver(name, lost))
+
+    def _receive(
+        self, action: actions.EmitTokens | actions.EndAnswer | actions.FailAnswer
+    ) -> None:
+        caller = self.callers[action.request]
+        receipt = caller.receipt
+        if receipt.ending is not None:
+            return
+        match action:
+            case actions.EmitTokens():
+                for token in action.tokens:
+                    receipt.tokens.append(token.text)
+                    caller.times.append(self.now)
+                return
+            case actions.EndAnswer():
+                receipt.ending = Whole(action.finish_reason)
+            case actions.FailAnswer():
+                problem = action.problem
+                receipt.ending = Failed(
+                    problem.kind, problem.run_state.value, problem.retry_after
+                )
+        caller.ended_at = self.now
+
+    def _set_timer(self, name: str, action: actions.SetTimer) -> None:
+        member = self.nodes[name]
+        number = next(self._order)
+        member.timers[action.timer] = number
+        delay = max(0.0, action.at - self.now)
+        self.schedule(delay, lambda: self._fire(name, member, action.timer, number))
+
+    def _fire(self, name: str, member: _Member, timer: str, number: int) -> None:
+        if self.nodes[name] is not member or member.timers.get(timer) != number:
+            return
+        if member.state == "frozen":
+            member.held.append(lambda: self._fire(name, member, timer, number))
+            return
+        del member.timers[timer]
+        self.deliver(name, TimerFired(timer))
+
+    def _send_peer(self, name: str, action: actions.SendPeer) -> None:
+        self.peer_messages += 1
+        lost = self.partitioned or self.random.random() < self.lose_peers
+        if lost or self.nodes[action.node].state == "dead":
+            event: Event = PeerLost(action.node, action.message)
+            self.schedule(2.0, lambda: self.deliver(name, event))
+            return
+        reached = PeerReached(name, action.message)
+        self.schedule(NODE_DELAY, lambda: self.deliver(action.node, reached))
