--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -144,6 +144,10 @@
         answer = self._find(event.request, event.attempt)
         if answer is None:
             return []
+        if event.upstream is None:
+            # Which stage is at fault is found out, not guessed.
+            answer.broken = True
+            return self._suspect_stall(answer, now)
         return self._break_off(answer, event.failure, event.upstream, now)
 
     def merge_probe(self, event: UpstreamProbed, now: float) -> list[Action]:
@@ -226,6 +230,8 @@
             return []
         if finding.dead:
             return self._leave_dead(answer, finding.dead, now)
+        if answer.broken:
+            return self._break_off(answer, Stalled(), None, now)
         waited = now - answer.started_at
         if answer.fresh or waited >= FIRST_TOKEN_TIMEOUT:
             moved = self._move(answer, now)
--- a/src/tarragonrudder/core/attempt.py
+++ b/src/tarragonrudder/core/attempt.py
@@ -38,6 +38,8 @@
         Tokens of the running attempt.
     failures : int
         Attempts in a row that failed without a new token.
+    broken : bool
+        Whether the running attempt's stream ended by an unknown stage's fault.
     ran, in_doubt : bool
         Whether tokens came, and whether an ended attempt may have run.
     """
@@ -53,6 +55,7 @@
     rejected: set[str] = field(default_factory=set)
     fresh: int = 0
     failures: int = 0
+    broken: bool = False
     ran: bool = False
     in_doubt: bool = False
     started_at: float = 0.0
@@ -93,6 +96,7 @@
         self.attempt += 1
         self.chain = chain
         self.fresh = 0
+        self.broken = False
         self.started_at = self.healthy_at = now
         self.waits_since = None
         self.apart_since = None
--- a/src/tarragonrudder/edges/engine.py
+++ b/src/tarragonrudder/edges/engine.py
@@ -15,6 +15,7 @@
     Failure,
     Malformed,
     Refused,
+    Stalled,
     Token,
     TokensArrived,
     Unreachable,
@@ -206,4 +207,7 @@
     if kind == "unreachable":
         failure = Unreachable()
     upstream = item.get("upstream")
+    if kind == "timeout":
+        # The stage that waited can't tell which of those behind it is slow.
+        return AttemptFailed(action.request, action.attempt, Stalled(), None)
     return AttemptFailed(action.request, action.attempt, failure, upstream)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -123,6 +123,8 @@
         response = await state.client.post(hop["address"] + "/v1/hop", json=body)
     except httpx.ConnectError as error:
         raise HopFailed("unreachable", hop["upstream"]) from error
+    except httpx.TimeoutException as error:
+        raise HopFailed("timeout", hop["upstream"]) from error
     except httpx.HTTPError as error:
         raise HopFailed("crashed", hop["upstream"]) from error
     item = response.json()
--- a/tests/standins/engines.py
+++ b/tests/standins/engines.py
@@ -90,6 +90,14 @@
         """Chains of the active attempts."""
         return [run.start.chain.upstreams for run in self._runs.values() if run.active]
 
+    def find_chains(self, request: str) -> list[tuple[str, ...]]:
+        """Return the chains of a request's attempts, in order."""
+        chains = []
+        for run in self._runs.values():
+            if run.start.request == request:
+                chains.append(run.start.chain.upstreams)
+        return chains
+
     def crash(self, name: str) -> None:
         """End an engine; its connections break."""
         engine = self.engines[name]
--- a/tests/standins/virtual.py
+++ b/tests/standins/virtual.py
@@ -77,6 +77,7 @@
         self.peer_messages = 0
         self.lose_peers = 0.0
         self.partitioned = False
+        self.platform_delay = PLATFORM_DELAY
         self.perturb: Perturbation | None = None
         self.random = random.Random(seed)
         self.configuration = configuration
@@ -111,6 +112,15 @@
             call()
         self.now = end
 
+    def run_until(self, check: t.Callable[[], bool], seconds: float = 60.0) -> None:
+        """Let virtual time pass until a condition holds."""
+        end = self.now + seconds
+        while not check():
+            if not self._queue or self._queue[0][0] > end:
+                raise TimeoutError("the condition did not come to hold")
+            self.now, _, call = heapq.heappop(self._queue)
+            call()
+
     def write(self, kind: str, **fields: t.Any) -> None:
         """Append a journal entry."""
         self.journal.append({"time": self.now, "kind": kind, **fields})
@@ -155,6 +165,11 @@
             caller.receipt.ending = Gone()
             self.deliver(caller.node, CallerGone(request))
 
+    @property
+    def receipts(self) -> list[Receipt]:
+        """What all callers got."""
+        return [caller.receipt for caller in self.callers.values()]
+
     def kill_node(self, name: str) -> None:
         """Kill a node; its callers' connections break."""
         self.nodes[name].state = "dead"
@@ -208,10 +223,10 @@
                 self.decisions.append((self.now, name, action))
             case actions.ReadPlatform() | actions.SwapPlatform():
                 event = PlatformFailed(action.tag, action.key)
-                self.schedule(PLATFORM_DELAY, lambda: self.deliver(name, event))
+                self.schedule(self.platform_delay, lambda: self.deliver(name, event))
             case actions.GrantLease():
                 lost = PlatformFailed(action.tag, "")
-                self.schedule(PLATFORM_DELAY, lambda: self.deliver(name, lost))
+                self.schedule(self.platform_delay, lambda: self.deliver(name, lost))
 
     def _receive(
         self, action: actions.EmitTokens | actions.EndAnswer | actions.FailAnswer
--- /dev/null
+++ b/tests/test_answer.py
@@ -0,0 +1,374 @@
+"""Model answers under faults, judged from the engines' journals."""
+
+import typing as t
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonrudder.core.answer import Answers
+from tarragonrudder.core.assembly import Assembly
+from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.event import (
+    AttemptEnded,
+    AttemptFailed,
+    Crashed,
+    Event,
+    Malformed,
+    Refused,
+    Token,
+    TokensArrived,
+    Unreachable,
+)
+from tarragonrudder.core.quarantine import Quarantine
+from tarragonrudder.core.recovery import Recovery
+from tarragonrudder.core.selection import Need, Selector
+from tests import judge
+from tests.matrix.answers import Scenario, find_faults
+from tests.standins.fleets import LAYER_COUNT, make_configuration
+from tests.standins.virtual import VirtualFleet
+
+
+def find_all(fleet: VirtualFleet) -> list[str]:
+    return judge.judge_all(fleet.journal, fleet.receipts, "1", LAYER_COUNT)
+
+
+def find_unanswered(fleet: VirtualFleet) -> list[str]:
+    unanswered = []
+    for receipt in fleet.receipts:
+        if not isinstance(receipt.ending, judge.Whole):
+            unanswered.append(f"{receipt.request}: {receipt.ending}")
+    return unanswered
+
+
+STEPS = st.sampled_from(
+    ["crash", "restart", "freeze", "wake", "cut", "heal", "slow", "ask", "lose"]
+)
+
+
+@settings(max_examples=25)
+@given(
+    seed=st.integers(0, 1000),
+    schedule=st.lists(
+        st.tuples(STEPS, st.integers(0, 8), st.floats(0.0, 1.5)), max_size=12
+    ),
+)
+def test_random_faults(seed: int, schedule: list[tuple[str, int, float]]) -> None:
+    # One engine of each stage stays whole, so that there is always a chain.
+    fleet = VirtualFleet(make_configuration(4), 3, seed)
+    for index in range(6):
+        fleet.ask(f"node-{index % 3}", f"question {index}", 30)
+    for kind, number, pause in schedule:
+        name = f"engine-{number % 3}-{1 + number // 3}"
+        fleet.run(pause)
+        match kind:
+            case "crash":
+                fleet.engines.crash(name)
+            case "restart":
+                fleet.engines.restart(name)
+            case "freeze":
+                if fleet.engines.engines[name].state == "up":
+                    fleet.engines.freeze(name)
+            case "wake":
+                if fleet.engines.engines[name].state == "frozen":
+                    fleet.engines.wake(name)
+            case "cut":
+                fleet.engines.cut_link(f"engine-{number % 2}-0", name)
+            case "heal":
+                fleet.engines.heal_link(f"engine-{number % 2}-0", name)
+            case "slow":
+                fleet.engines.slow_link(f"engine-{number % 2}-0", name, 0.5)
+            case "ask":
+                fleet.ask(f"node-{number % 3}", f"later {len(fleet.callers)}", 20)
+            case "lose":
+                fleet.lose_peers = 0.3
+    fleet.run(65)
+    assert find_all(fleet) == []
+    assert find_unanswered(fleet) == []
+    assert fleet.engines.running == []
+
+
+TOKENS = st.lists(
+    st.one_of(
+        st.tuples(st.integers(-2, 10), st.sampled_from("ab")),
+        st.tuples(st.just(None), st.integers(-2, 10)),
+    ),
+    max_size=30,
+)
+
+
+@given(TOKENS)
+def test_malformed_tokens_end_typed(items: list[tuple[t.Any, t.Any]]) -> None:
+    fleet = VirtualFleet(make_configuration(1), 1)
+    node = fleet.nodes["node-0"].core
+    request = fleet.ask("node-0", "one", 8)
+    receipt = fleet.callers[request].receipt
+    for position, text in items:
+        event: Event = AttemptEnded(request, 1, text, "stop")
+        if position is not None:
+            event = TokensArrived(request, 1, (Token(position, text),))
+        before = list(receipt.tokens)
+        fleet.deliver("node-0", event)
+        assert receipt.tokens[: len(before)] == before
+        if isinstance(receipt.ending, judge.Whole) and position is None:
+            assert len(receipt.tokens) == text
+            break
+    assert len(receipt.tokens) <= 8
+    assert (node.in_flight == 0) == (receipt.ending is not None)
+
+
+@pytest.mark.parametrize(
+    ("failures", "state"),
+    [
+        ([Unreachable()], "not_run"),
+        ([Refused(leaving=True)], "not_run"),
+        ([Crashed()], "unknown"),
+        ([Unreachable(), Crashed()], "unknown"),
+        ([Malformed()], "unknown"),
+    ],
+)
+def test_run_state_is_true(failures: list[t.Any], state: str) -> None:
+    # The only engine of the first stage fails, so that no chain is left.
+    fleet = VirtualFleet(make_configuration(len(failures)), 1)
+    request = fleet.ask("node-0", "one", 8)
+    receipt = fleet.callers[request].receipt
+    for attempt, failure in enumerate(failures, 1):
+        head = fleet.nodes["node-0"].core.answers._answers[request].chain
+        assert head is not None
+        for engine in fleet.engines.engines.values():
+            engine.leaving = True
+            engine.state = "frozen"
+        event = AttemptFailed(request, attempt, failure, head.upstreams[0])
+        fleet.deliver("node-0", event)
+    for engine in fleet.configuration.engines:
+        fleet.nodes["node-0"].core.membership.mark_leaving(engine.name, fleet.now)
+    fleet.run(15)
+    assert isinstance(receipt.ending, judge.Failed)
+    assert receipt.ending.run_state == state
+
+
+def test_refusal_of_later_stage_is_not_called_not_run() -> None:
+    fleet = VirtualFleet(make_configuration(1), 1)
+    fleet.engines.engines["engine-1-0"].leaving = True
+    request = fleet.ask("node-0", "one", 8)
+    fleet.run(30)
+    ending = fleet.callers[request].receipt.ending
+    assert isinstance(ending, judge.Failed)
+    assert ending.run_state == "unknown"
+    assert find_all(fleet) == []
+
+
+def test_no_chain_is_told_at_once() -> None:
+    fleet = VirtualFleet(make_configuration(1), 1)
+    fleet.list_vms("engine-1-0")
+    request = fleet.ask("node-0", "one", 8)
+    ending = fleet.callers[request].receipt.ending
+    assert ending == judge.Failed("no_chain", "not_run", 5.0)
+
+
+def test_request_waits_for_an_engine_that_comes_back() -> None:
+    fleet = VirtualFleet(make_configuration(1), 1)
+    request = fleet.ask("node-0", "one", 30)
+    fleet.run(0.5)
+    fleet.engines.crash("engine-1-0")
+    fleet.run(2.0)
+    fleet.engines.restart("engine-1-0")
+    fleet.run(10)
+    assert isinstance(fleet.callers[request].receipt.ending, judge.Whole)
+    assert find_all(fleet) == []
+
+
+def test_options_that_all_engines_reject_end_soon() -> None:
+    fleet = VirtualFleet(make_configuration(5), 1)
+    request = fleet.ask("node-0", "one", 8)
+    for attempt in range(1, 4):
+        answer = fleet.nodes["node-0"].core.answers._answers[request]
+        assert answer.chain is not None
+        head = answer.chain.upstreams[0]
+        event = AttemptFailed(request, attempt, Refused(), head)
+        fleet.deliver("node-0", event)
+        fleet.run(0.0004)
+        fleet.run(0.1 if attempt > 1 else 0.0)
+    ending = fleet.callers[request].receipt.ending
+    assert isinstance(ending, judge.Failed)
+    assert ending.kind == "upstream_failed"
+    assert fleet.nodes["node-0"].core.membership.unusable(fleet.now) == frozenset()
+
+
+def test_frozen_stage_is_named_and_others_are_kept() -> None:
+    fleet = VirtualFleet(make_configuration(3), 1)
+    request = fleet.ask("node-0", "one", 60)
+    fleet.run(0.6)
+    (chain,) = fleet.engines.find_chains(request)
+    fleet.engines.freeze(chain[1])
+    fleet.run(30)
+    second = fleet.engines.find_chains(request)[1]
+    assert (second[0], second[2]) == (chain[0], chain[2])
+    assert second[1] != chain[1]
+    assert find_unanswered(fleet) == []
+
+
+def test_slow_link_is_left_although_tokens_come() -> None:
+    fleet = VirtualFleet(make_configuration(3), 1)
+    request = fleet.ask("node-0", "one", 100)
+    fleet.run(0.6)
+    (chain,) = fleet.engines.find_chains(request)
+    fleet.engines.slow_link(chain[0], chain[1], 0.25)
+    fleet.run(4)
+    second = fleet.engines.find_chains(request)[-1]
+    assert (chain[0], chain[1]) not in list(zip(second, second[1:], strict=False))
+
+
+def test_load_reports_of_stage_death_do_not_spend_the_budget() -> None:
+    fleet = VirtualFleet(make_configuration(13), 7)
+    for index in range(200):
+        fleet.ask(f"node-{index % 7}", f"question {index}", 60)
+    fleet.run(1.0)
+    for index in range(3):
+        fleet.engines.crash(f"engine-{index}-0")
+    fleet.run(40)
+    assert find_unanswered(fleet) == []
+    extra, load = judge.measure_extra_work(fleet.journal)
+    assert extra <= 0.1 * load
+
+
+# Each mechanism's removal must be caught by the judge.
+
+
+def drop_attempt_check(patch: pytest.MonkeyPatch) -> None:
+    def find(self: Answers, request: str, attempt: int) -> t.Any:
+        answer = self._answers.get(request)
+        return answer if answer is not None and answer.chain is not None else None
+
+    patch.setattr(Answers, "_find", find)
+
+
+def drop_position_check(patch: pytest.MonkeyPatch) -> None:
+    def add(self: Assembly, tokens: tuple[Token, ...]) -> tuple[Token, ...]:
+        self.emitted.extend(token.text for token in tokens)
+        return tokens
+
+    patch.setattr(Assembly, "add", add)
+
+
+def drop_terminator_check(patch: pytest.MonkeyPatch) -> None:
+    def finish(self: Assembly, end: AttemptEnded) -> None:
+        self._end = end
+
+    patch.setattr(Assembly, "finish", finish)
+    patch.setattr(Assembly, "is_whole", property(lambda self: self._end is not None))
+
+
+def drop_recovery(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Answers, "_go_on", _give_up_after_first(Answers._go_on))
+
+
+def _give_up_after_first(go_on: t.Any) -> t.Any:
+    def replaced(
+        self: Answers, answer: t.Any, now: float, backoff: float = 0.0
+    ) -> t.Any:
+        return go_on(self, answer, now, backoff) if answer.attempt == 0 else []
+
+    return replaced
+
+
+def drop_stall_timer(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Answers, "_suspect_stall", lambda self, answer, now: [])
+
+
+VARIANTS = [
+    (drop_attempt_check, "token", "answer of another attempt"),
+    (drop_position_check, "token", "answer out of order"),
+    (drop_terminator_check, "token", "answer out of order"),
+    (drop_recovery, "token", "stage crash"),
+    (drop_stall_timer, "token", "stage freeze"),
+]
+
+
+@pytest.mark.parametrize(("drop", "step", "fault"), VARIANTS)
+def test_removed_mechanism_is_caught(
+    drop: t.Callable[[pytest.MonkeyPatch], None],
+    step: str,
+    fault: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    drop(monkeypatch)
+    scenario = Scenario(step, (fault,), 5)
+    scenario.play()
+    assert find_faults(scenario) != []
+
+
+def storm(fleet: VirtualFleet) -> None:
+    """Crash every engine but one of each stage, again and again."""
+    for index in range(40):
+        fleet.ask(f"node-{index % 2}", f"question {index}" + 2000 * "x", 40)
+    for _ in range(20):
+        fleet.run(0.4)
+        for chain in fleet.engines.running[:2]:
+            fleet.engines.crash(chain[1])
+        for name in list(fleet.engines.engines):
+            if fleet.engines.engines[name].state == "dead":
+                fleet.engines.restart(name)
+    fleet.run(70)
+
+
+def measure_storm() -> tuple[float, float]:
+    fleet = VirtualFleet(make_configuration(4), 2, 1)
+    storm(fleet)
+    extra, load = judge.measure_extra_work(fleet.journal)
+    reserve = 2 * 4000.0 * LAYER_COUNT  # of two nodes
+    trickle = 2 * 50.0 * LAYER_COUNT * 80  # in 80 seconds
+    return extra, 0.1 * load + reserve + trickle
+
+
+def test_extra_work_is_bounded() -> None:
+    extra, limit = measure_storm()
+    assert extra <= limit
+
+
+def test_missing_budget_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(RetryBudget, "withdraw", lambda self, work, now: True)
+    extra, limit = measure_storm()
+    assert extra > limit
+
+
+def judge_stale_choice(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Run with a selector that goes on choosing the chain it chose first."""
+    choose = Selector.choose
+    stale: dict[int, t.Any] = {}
+
+    def choose_again(self: Selector, need: Need, now: float) -> t.Any:
+        if id(self) not in stale:
+            stale[id(self)] = choose(self, need, now)
+        return stale[id(self)]
+
+    monkeypatch.setattr(Selector, "choose", choose_again)
+    fleet = VirtualFleet(make_configuration(2), 1)
+    fleet.ask("node-0", "one", 8)
+    fleet.run(1)
+    (chain,) = fleet.engines.find_chains("request-1")
+    fleet.list_vms(chain[1])
+    left = {chain[1]: fleet.now}
+    fleet.run(6)
+    fleet.ask("node-0", "two", 8)
+    fleet.run(20)
+    return judge.judge_leaving(fleet.journal, left)
+
+
+def test_dispatch_checks_a_stale_choice_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert judge_stale_choice(monkeypatch) == []
+
+
+def test_missing_check_at_dispatch_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Recovery, "check", lambda self, answer, chain, now: True)
+    assert judge_stale_choice(monkeypatch) != []
+
+
+def test_missing_quarantine_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Quarantine, "record_crash", lambda *args: [])
+    fleet = VirtualFleet(make_configuration(5), 2)
+    fleet.ask("node-0", "CRASH@0", 8)
+    fleet.run(20)
+    assert judge.judge_crashes(fleet.journal) != []
