Name a crashing request at its second crash and nobody else

Random schedules (500 examples) found an innocent request refused: its second stage crashed by chance before its first new token. A second crash now counts only if no token came past the first one's, and not while other upstreams crash too; a request at two crashes in a row without a token in between still can't be told from their cause, and the judge allows a refusal in that case only.

--- a/src/tarragonrudder/core/quarantine.py
+++ b/src/tarragonrudder/core/quarantine.py
@@ -1,7 +1,8 @@
 """Requests that crash the upstreams that run them.
 
 All requests that ran on a crashed upstream are suspects. They run again apart
-from one another; one that is alone on a second crashed upstream is blocked.
+from one another; one that is alone on a second crashed upstream, and had not
+got past the token of the first crash, is blocked.
 """
 
 from dataclasses import dataclass, field
@@ -18,6 +19,8 @@
 SUSPECT_PERIOD = 60.0  # seconds after a crash
 PLACED_PERIOD = 20.0  # seconds that a peer's word of a placement holds
 HEARING_DELAY = 0.25  # seconds in which peers' word of the same crash comes
+INFRASTRUCTURE_CRASHES = 2  # other upstreams whose crash excuses suspects
+INFRASTRUCTURE_PERIOD = 2.0  # seconds in which they crash
 EXPLAINED_PERIOD = 2.0  # seconds around a block in which a crash is explained
 CLEARING_TOKENS = 3  # tokens on a new chain that clear a suspect
 CRASHES_TO_BLOCK = 2
@@ -48,6 +51,7 @@
         # Relayed word of an older crash must not renew an ended suspicion.
         self._cleared_at: dict[str, float] = {}
         self._explained_at: dict[str, float] = {}
+        self._crashed_at: dict[str, float] = {}
 
     def check(self, fingerprint: str, now: float) -> float:
         """Return the seconds for which a fingerprint is refused, 0 if not."""
@@ -132,7 +136,7 @@
             if suspect.resolve_at is not None and suspect.resolve_at <= now:
                 due[key] = suspect
         actions: list[Action] = []
-        for key in _name_culprits(due):
+        for key in self._name_culprits(due, now):
             fact = FingerprintBlocked(key, tuple(due[key].crashes), 0.0)
             actions.extend(self._block(fact, now))
         for key in due.keys() & self._suspects.keys():
@@ -154,7 +158,7 @@
         for key, since in list(self._blocked_since.items()):
             if since + QUARANTINE_PERIOD <= now:
                 del self._blocked_since[key]
-        for ended in (self._cleared_at, self._explained_at):
+        for ended in (self._cleared_at, self._explained_at, self._crashed_at):
             for key, at in list(ended.items()):
                 if at + SUSPECT_PERIOD <= now:
                     del ended[key]
@@ -173,6 +177,7 @@
         if fact.upstream in suspect.crashes:
             return []
         suspect.crashes[fact.upstream] = now - fact.age
+        self._crashed_at[fact.upstream] = now - fact.age
         suspect.placed = frozenset()
         if fact.strong:
             suspect.strong.add(fact.upstream)
@@ -228,26 +233,38 @@
             elif len(suspect.crashes) < CRASHES_TO_BLOCK:
                 suspect.resolve_at = None
 
+    def _name_culprits(self, due: dict[str, _Suspect], now: float) -> list[str]:
+        """Return the suspects that nothing else can excuse.
+
+        A suspect is excused if tokens came before its last upstream crashed,
+        if another suspect was there as well, or if other upstreams crash too,
+        as when a rack fails.
+        """
+        if self._count_unexplained(now) >= INFRASTRUCTURE_CRASHES:
+            return []
+        culprits = []
+        for key, suspect in due.items():
+            last = _find_last(suspect)
+            strong = [name for name, item in due.items() if last in item.strong]
+            if strong == [key]:
+                culprits.append(key)
+        return culprits
+
+    def _count_unexplained(self, now: float) -> int:
+        """Count recent crashes that no twice crashed suspect explains."""
+        recent = set()
+        for upstream, at in self._crashed_at.items():
+            if now - at < INFRASTRUCTURE_PERIOD:
+                recent.add(upstream)
+        for suspect in self._suspects.values():
+            if len(suspect.crashes) >= CRASHES_TO_BLOCK:
+                recent -= suspect.crashes.keys()
+        return len(recent - self._explained_at.keys())
+
     def _make_room(self) -> None:
         if len(self._suspects) >= MAX_SUSPECTS:
             del self._suspects[next(iter(self._suspects))]
 
 
-def _name_culprits(due: dict[str, _Suspect]) -> list[str]:
-    """Return the suspects that no other suspect can excuse.
-
-    Suspects that share their last crashed upstream excuse one another, but
-    for a single one of which no token had come when it crashed.
-    """
-    culprits = []
-    for key, suspect in due.items():
-        last = _find_last(suspect)
-        rivals = [other for other, item in due.items() if last in item.crashes]
-        strong = [other for other in rivals if last in due[other].strong]
-        if rivals == [key] or strong == [key]:
-            culprits.append(key)
-    return culprits
-
-
 def _find_last(suspect: _Suspect) -> str:
     return max(suspect.crashes, key=lambda upstream: suspect.crashes[upstream])
--- a/src/tarragonrudder/core/recovery.py
+++ b/src/tarragonrudder/core/recovery.py
@@ -27,6 +27,7 @@
 from tarragonrudder.core.selection import Need, Selector
 from tarragonrudder.errors import ChainError
 
+LOST_TOKENS = 1  # tokens that a crash may keep from the node
 APART_WAIT = 0.7  # seconds for which a suspect waits for stages of its own
 OWN_WAIT = 0.35  # seconds in which a suspect keeps to its node's own share
 APART_PERIOD = 0.03  # seconds between looks for such stages
@@ -151,7 +152,10 @@
             case Crashed():
                 actions.extend(self._membership.mark_failed(upstream, now))
                 fingerprint = answer.chat.fingerprint
-                strong = answer.fresh == 0
+                # A token may have been lost between its stage and this node.
+                strong = answer.fresh == 0 or (
+                    answer.attempt > 1 and answer.fresh <= LOST_TOKENS
+                )
                 actions.extend(
                     self._quarantine.record_crash(fingerprint, upstream, strong, now)
                 )
--- a/tests/judge.py
+++ b/tests/judge.py
@@ -158,6 +158,27 @@
     return findings
 
 
+def judge_refusals(
+    entries: t.Sequence[Entry], receipts: t.Iterable[Receipt], limit: int = 2
+) -> list[str]:
+    """Find requests refused for crashes that did not run at `limit` of them."""
+    seen: collections.Counter[str] = collections.Counter()
+    for entry in entries:
+        if entry["kind"] == "crashed":
+            seen.update(set(entry["requests"]))
+    prompts: collections.Counter[str] = collections.Counter()
+    all_receipts = list(receipts)
+    for receipt in all_receipts:
+        prompts[str(receipt.messages)] += seen[receipt.request]
+    findings = []
+    for receipt in all_receipts:
+        match receipt.ending:
+            case Failed(kind="request_quarantined"):
+                if prompts[str(receipt.messages)] < limit:
+                    findings.append(f"{receipt.request} was refused without cause")
+    return findings
+
+
 def measure_extra_work(entries: t.Sequence[Entry]) -> tuple[float, float]:
     """Return the replayed and the generated work, in layers times tokens."""
     extra = 0.0
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,164 @@
+"""Leaving and failed upstreams, and how word of them spreads."""
+
+import random
+
+import pytest
+
+from tarragonrudder.core.action import ProbeUpstream, SendPeer
+from tarragonrudder.core.event import UpstreamProbed, VirtualMachine, VmsListed
+from tarragonrudder.core.gossip import BURST_BYTES, BYTES_PER_SECOND, Gossip
+from tarragonrudder.core.membership import LEAVING_PERIOD, Membership
+from tarragonrudder.core.message import Facts, UpstreamLeaving
+from tarragonrudder.edges.peer import encode_message
+from tests import judge
+from tests.standins.fleets import LAYER_COUNT, make_configuration
+from tests.standins.virtual import VirtualFleet
+
+LEAVING_TIME = 5.0  # seconds until no node gives new work
+
+
+def make_membership() -> Membership:
+    membership = Membership("node-0", Gossip(random.Random(1)))
+    membership.configure(make_configuration(1).engines)
+    return membership
+
+
+def list_vms(*leaving: str) -> VmsListed:
+    return VmsListed(tuple(VirtualMachine(name, "", "", True) for name in leaving))
+
+
+def test_failed_upstream_is_probed_before_it_gets_work() -> None:
+    membership = make_membership()
+    membership.mark_failed("engine-0-0", 10.0)
+    assert membership.tick(10.5) == []
+    (probe,) = membership.tick(11.0)
+    assert isinstance(probe, ProbeUpstream)
+    membership.merge_probe(UpstreamProbed("engine-0-0", False), 11.5)
+    assert "engine-0-0" in membership.unusable(12.0)
+    assert membership.tick(12.0) == []
+    assert len(membership.tick(14.0)) == 1
+    membership.merge_probe(UpstreamProbed("engine-0-0", True), 14.1)
+    assert membership.unusable(14.1) == frozenset()
+
+
+@pytest.mark.parametrize(
+    ("age", "at", "leaving"),
+    [
+        (0.0, 10.0 + LEAVING_PERIOD - 0.1, True),
+        (0.0, 10.0 + LEAVING_PERIOD, False),
+        (30.0, 10.0 + LEAVING_PERIOD - 30.0, False),
+        (LEAVING_PERIOD, 10.0, False),
+    ],
+)
+def test_word_of_leaving_ends(age: float, at: float, leaving: bool) -> None:
+    membership = make_membership()
+    membership.mark_leaving("engine-0-0", 10.0, age)
+    assert ("engine-0-0" in membership.leaving(at)) == leaving
+
+
+def test_own_word_outlives_a_stale_list_and_the_list_outlives_it() -> None:
+    membership = make_membership()
+    membership.mark_leaving("engine-0-0", 10.0)
+    membership.merge_vms(list_vms(), 11.0)
+    assert "engine-0-0" in membership.unusable(11.0)
+    membership.merge_vms(list_vms("engine-0-0"), 30.0)
+    assert "engine-0-0" in membership.unusable(200.0)
+    membership.merge_vms(list_vms(), 200.0)
+    assert "engine-0-0" not in membership.unusable(200.0)
+
+
+def test_relayed_word_is_not_passed_on_twice() -> None:
+    membership = make_membership()
+    assert membership.mark_leaving("engine-0-0", 10.0) != []
+    assert membership.mark_leaving("engine-0-0", 12.0, age=2.0) == []
+    assert membership.mark_leaving("engine-0-0", 12.0, age=1.9) == []
+
+
+def play_leaving(seed: int, node_count: int, loss: float, shown_by: str) -> list[str]:
+    fleet = VirtualFleet(make_configuration(3), node_count, seed)
+    fleet.lose_peers = loss
+    for index in range(2 * node_count):
+        fleet.ask(f"node-{index % node_count}", f"question {index}", 200)
+    fleet.run(0.5)
+    upstream = fleet.engines.running[0][1]
+    if shown_by == "list":
+        fleet.list_vms(upstream, nodes=["node-0"])
+    else:
+        fleet.engines.engines[upstream].leaving = True
+    left = {upstream: fleet.now}
+    for index in range(60):
+        fleet.run(0.25)
+        fleet.ask(f"node-{index % node_count}", f"later {index}", 5)
+    fleet.run(30)
+    findings = judge.judge_all(fleet.journal, fleet.receipts, "1", LAYER_COUNT)
+    findings += judge.judge_leaving(fleet.journal, left, LEAVING_TIME)
+    for receipt in fleet.receipts:
+        if not isinstance(receipt.ending, judge.Whole):
+            findings.append(f"{receipt.request} ended with {receipt.ending}")
+    return findings
+
+
+@pytest.mark.parametrize("shown_by", ["list", "refusal"])
+@pytest.mark.parametrize(("nodes", "loss"), [(7, 0.0), (7, 0.5), (30, 0.2)])
+def test_leaving_upstream_gets_no_new_work(
+    nodes: int, loss: float, shown_by: str
+) -> None:
+    assert play_leaving(1, nodes, loss, shown_by) == []
+
+
+def test_missing_word_of_leaving_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Gossip, "spread", lambda *args: [])
+    assert play_leaving(1, 7, 0.0, "list") != []
+
+
+def spread_one(node_count: int, loss: float, seed: int) -> tuple[float, int]:
+    """Return the rounds' time until all nodes know a fact, and its messages."""
+    source = random.Random(seed)
+    names = [f"node-{index}" for index in range(node_count)]
+    gossips = {name: Gossip(random.Random(source.random())) for name in names}
+    known = {names[0]}
+    for name in names:
+        gossips[name].set_peers(tuple(other for other in names if other != name))
+    gossips[names[0]].spread("leaving:u", UpstreamLeaving("u", 0.0), 0.0)
+    messages = 0
+    now = 0.0
+    last = 0.0
+    while now < 4.0:
+        sent = []
+        for name in names:
+            sent.extend(gossips[name].fire(now))
+        for action in sent:
+            if not isinstance(action, SendPeer):
+                continue
+            messages += 1
+            if source.random() < loss or action.node in known:
+                continue
+            known.add(action.node)
+            gossips[action.node].spread("leaving:u", UpstreamLeaving("u", 0.0), now)
+            last = now
+        now += 0.2
+    assert len(known) == node_count
+    return last, messages
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+@pytest.mark.parametrize("seed", range(3))
+def test_fact_reaches_400_nodes(loss: float, seed: int) -> None:
+    reached, _ = spread_one(400, loss, seed)
+    assert reached < 2.0
+
+
+def test_bytes_are_bounded() -> None:
+    gossip = Gossip(random.Random(1))
+    gossip.set_peers(tuple(f"node-{index}" for index in range(399)))
+    sent = 0
+    for step in range(3000):
+        now = step * 0.2
+        for index in range(20):
+            name = f"engine-{step}-{index}"
+            gossip.spread(name, UpstreamLeaving(name, 0.0), now)
+        for action in gossip.fire(now):
+            if isinstance(action, SendPeer):
+                assert isinstance(action.message, Facts)
+                sent += len(encode_message("node-1", action.message, now)) + 300
+    assert sent <= BURST_BYTES + BYTES_PER_SECOND * 600
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,161 @@
+"""Crashing requests, on one node and over several."""
+
+import random
+
+import pytest
+
+from tarragonrudder.core.gossip import Gossip
+from tarragonrudder.core.message import CrashNoted, FingerprintBlocked
+from tarragonrudder.core.quarantine import (
+    HEARING_DELAY,
+    MAX_SUSPECTS,
+    QUARANTINE_PERIOD,
+    SUSPECT_PERIOD,
+    Quarantine,
+)
+from tarragonrudder.core.recovery import Recovery
+from tests import judge
+from tests.standins.fleets import LAYER_COUNT, make_configuration
+from tests.standins.virtual import VirtualFleet
+
+REFUSAL_TIME = 2.0  # seconds until all nodes refuse
+A, B, C = "a" * 64, "b" * 64, "c" * 64
+
+
+def make_quarantine() -> Quarantine:
+    return Quarantine(Gossip(random.Random(1)))
+
+
+@pytest.mark.parametrize(
+    ("crashes", "blocked"),
+    [
+        ([(A, "u1", True)], set()),
+        ([(A, "u1", False), (A, "u2", True)], {A}),
+        ([(A, "u1", True), (A, "u1", True)], set()),
+        # The rival has not got past its token either.
+        ([(A, "u1", True), (B, "u1", True), (A, "u2", True), (B, "u2", True)], set()),
+        ([(A, "u1", True), (B, "u1", True), (A, "u2", True), (B, "u3", False)], {A}),
+        # The other was not there at a crash before.
+        ([(A, "u1", True), (B, "u2", True), (A, "u2", True)], {A}),
+        # A rack fails.
+        (
+            [(A, "u1", True), (B, "u3", False), (C, "u4", False), (A, "u2", True)],
+            set(),
+        ),
+    ],
+)
+def test_second_crash_names(
+    crashes: list[tuple[str, str, bool]], blocked: set[str]
+) -> None:
+    quarantine = make_quarantine()
+    for index, (fingerprint, upstream, strong) in enumerate(crashes):
+        quarantine.record_crash(fingerprint, upstream, strong, 10.0 + index / 100)
+    quarantine.fire(10.1 + HEARING_DELAY)
+    named = {name for name in (A, B, C) if quarantine.check(name, 11.0) > 0}
+    assert named == blocked
+
+
+def test_block_absolves_the_others_and_ends_by_itself() -> None:
+    quarantine = make_quarantine()
+    for name in (A, B):
+        quarantine.record_crash(name, "u1", False, 10.0)
+    quarantine.record_crash(A, "u2", True, 11.0)
+    quarantine.fire(12.0)
+    assert not quarantine.is_suspect(B)
+    assert quarantine.check(A, 12.0) == pytest.approx(QUARANTINE_PERIOD)
+    assert quarantine.check(A, 12.0 + QUARANTINE_PERIOD) == 0.0
+    # Word of the explained crash that comes late suspects nobody again.
+    quarantine.merge(CrashNoted(B, "u1", True, 1.5), 12.5)
+    assert not quarantine.is_suspect(B)
+
+
+def test_relayed_word_does_not_renew_a_cleared_suspicion() -> None:
+    quarantine = make_quarantine()
+    quarantine.record_crash(A, "u1", True, 10.0)
+    quarantine.clear(A, 11.0)
+    quarantine.merge(CrashNoted(A[:32], "u1", True, 2.0), 12.0)
+    assert not quarantine.is_suspect(A)
+
+
+def test_suspicion_ends_by_itself() -> None:
+    quarantine = make_quarantine()
+    quarantine.record_crash(A, "u1", True, 10.0)
+    quarantine.tick(10.0 + SUSPECT_PERIOD)
+    assert len(quarantine) == 0
+
+
+def test_memory_is_bounded() -> None:
+    quarantine = make_quarantine()
+    for index in range(2 * MAX_SUSPECTS):
+        quarantine.record_crash(f"{index:064}"[::-1], "u1", True, 10.0)
+        block = FingerprintBlocked(f"{index:032}"[::-1] + "x", ("u9",), 0.0)
+        quarantine.merge(block, 10.0)
+    assert len(quarantine) <= 2 * MAX_SUSPECTS
+
+
+def play_crash(
+    text: str, seed: int, node_count: int = 7, loss: float = 0.0
+) -> VirtualFleet:
+    """Run a crashing request among others; its caller tries every node."""
+    fleet = VirtualFleet(make_configuration(13), node_count, seed)
+    fleet.lose_peers = loss
+    for index in range(70):
+        fleet.ask(f"node-{index % node_count}", f"question {index}", 50)
+        fleet.run(0.01)
+    first = fleet.ask("node-0", text, 50)
+    receipt = fleet.callers[first].receipt
+    fleet.run_until(lambda: receipt.ending is not None)
+    fleet.run(REFUSAL_TIME)
+    for index in range(node_count):
+        again = fleet.ask(f"node-{index}", text, 50)
+        ending = fleet.callers[again].receipt.ending
+        assert isinstance(ending, judge.Failed), "the refusal comes at once"
+        assert (ending.kind, ending.run_state) == ("request_quarantined", "not_run")
+        assert ending.retry_after is not None
+        assert 0 < ending.retry_after <= QUARANTINE_PERIOD
+    fleet.run(40)
+    return fleet
+
+
+def find_faults(fleet: VirtualFleet) -> list[str]:
+    findings = judge.judge_all(fleet.journal, fleet.receipts, "1", LAYER_COUNT)
+    findings += judge.judge_crashes(fleet.journal)
+    findings += judge.judge_refusals(fleet.journal, fleet.receipts)
+    for receipt in fleet.receipts:
+        guilty = "CRASH@" in receipt.messages[0]["content"]
+        whole = isinstance(receipt.ending, judge.Whole)
+        if whole == guilty:
+            findings.append(f"{receipt.request} ended with {receipt.ending}")
+    return findings
+
+
+@pytest.mark.parametrize("text", ["CRASH@0", "CRASH@1", "CRASH@10"])
+@pytest.mark.parametrize(("seed", "loss"), [(1, 0.0), (2, 0.0), (3, 0.3)])
+def test_culprit_is_refused_and_nobody_else(text: str, seed: int, loss: float) -> None:
+    assert find_faults(play_crash(text, seed, loss=loss)) == []
+
+
+def test_two_culprits_at_once() -> None:
+    fleet = VirtualFleet(make_configuration(13), 7, 4)
+    for index in range(35):
+        fleet.ask(f"node-{index % 7}", f"question {index}", 50)
+    fleet.run(0.3)
+    fleet.ask("node-1", "one CRASH@0", 50)
+    fleet.ask("node-2", "two CRASH@0", 50)
+    fleet.run(60)
+    assert find_faults(fleet) == []
+
+
+def test_running_suspects_are_not_put_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Recovery, "_find_apart", lambda *args: frozenset())
+    findings = []
+    for seed in range(3):
+        fleet = VirtualFleet(make_configuration(4), 7, seed)
+        for index in range(42):
+            fleet.ask(f"node-{index % 7}", f"question {index}", 50)
+        fleet.ask("node-0", "CRASH@5", 50)
+        fleet.run(60)
+        findings += find_faults(fleet)
+    assert findings != []
