Tell cut connections from crashes by a probe, and prove recovery with processes

With real processes, two cut streams at the same token had the answer refused as a crashing request (test_recovery[connection cut], seen failing first). A stage whose stream broke is now probed at once: an engine that answers within 0.6 s has not just crashed, since it would have its weights to load.

--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -19,6 +19,7 @@
     AttemptEnded,
     AttemptFailed,
     ChatRequested,
+    Crashed,
     Failure,
     Malformed,
     Stalled,
@@ -152,7 +153,7 @@
 
     def merge_probe(self, event: UpstreamProbed, now: float) -> list[Action]:
         """Take in a probe's result and leave the stages that it shows dead."""
-        actions: list[Action] = []
+        actions = self._quarantine.merge_probe(event, now)
         for finding in self._diagnosis.merge(event, now):
             actions.extend(self._follow_finding(finding, now))
         return actions
@@ -266,6 +267,11 @@
         self, answer: Answer, failure: Failure, upstream: str | None, now: float
     ) -> list[Action]:
         actions = self._recovery.note_failure(answer, failure, upstream, now)
+        if isinstance(failure, Crashed) and answer.chain is not None:
+            # A stream breaks by a crash or by a cut connection.
+            for hop in answer.chain.hops:
+                if hop.upstream == upstream:
+                    actions.extend(self._diagnosis.probe(hop, now))
         actions.extend(self._stop_attempt(answer, keep_cache=True))
         answer.end_attempt(failure, upstream)
         actions.append(ClearTimer(f"answer-stall:{answer.request}"))
--- a/src/tarragonrudder/core/diagnosis.py
+++ b/src/tarragonrudder/core/diagnosis.py
@@ -45,12 +45,20 @@
                     case.dead.add(hop.upstream)
                 continue
             case.waiting.add(hop.upstream)
-            actions.extend(self._probe(hop, now))
+            actions.extend(self.probe(hop, now))
         if not case.waiting:
             return [], Finding(request, frozenset(case.dead))
         self._cases[request] = case
         return actions, None
 
+    def probe(self, hop: Hop, now: float) -> list[Action]:
+        """Probe one stage, if it is not being probed."""
+        started = self._probing.get(hop.upstream)
+        if started is not None and now - started < PROBE_TIMEOUT:
+            return []
+        self._probing[hop.upstream] = now
+        return [ProbeUpstream(hop.upstream, hop.address, PROBE_TIMEOUT)]
+
     def merge(self, event: UpstreamProbed, now: float) -> list[Finding]:
         """Take in a probe's result; return what is now found."""
         self._probing.pop(event.upstream, None)
@@ -84,10 +92,3 @@
         for name, (probed_at, _) in list(self._results.items()):
             if now - probed_at >= PROBE_MAX_AGE:
                 del self._results[name]
-
-    def _probe(self, hop: Hop, now: float) -> list[Action]:
-        started = self._probing.get(hop.upstream)
-        if started is not None and now - started < PROBE_TIMEOUT:
-            return []
-        self._probing[hop.upstream] = now
-        return [ProbeUpstream(hop.upstream, hop.address, PROBE_TIMEOUT)]
--- a/src/tarragonrudder/core/message.py
+++ b/src/tarragonrudder/core/message.py
@@ -75,7 +75,24 @@
     kind: t.Literal["blocked"] = "blocked"
 
 
-Fact: t.TypeAlias = UpstreamLeaving | CrashNoted | SuspectPlaced | FingerprintBlocked
+@dataclass(frozen=True, slots=True)
+class CrashDenied:
+    """An upstream whose streams broke is alive: its connections were cut.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since it answered.
+    """
+
+    upstream: str
+    age: float
+    kind: t.Literal["denied"] = "denied"
+
+
+Fact: t.TypeAlias = (
+    UpstreamLeaving | CrashNoted | SuspectPlaced | FingerprintBlocked | CrashDenied
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tarragonrudder/core/quarantine.py
+++ b/src/tarragonrudder/core/quarantine.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass, field
 
 from tarragonrudder.core.action import Action, LogDecision, SetTimer
+from tarragonrudder.core.event import UpstreamProbed
 from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.message import (
+    CrashDenied,
     CrashNoted,
     FingerprintBlocked,
     SuspectPlaced,
@@ -19,6 +21,7 @@
 SUSPECT_PERIOD = 60.0  # seconds after a crash
 PLACED_PERIOD = 20.0  # seconds that a peer's word of a placement holds
 HEARING_DELAY = 0.25  # seconds in which peers' word of the same crash comes
+DENIAL_PERIOD = 0.6  # seconds after a crash in which no engine is back
 INFRASTRUCTURE_CRASHES = 2  # other upstreams whose crash excuses suspects
 INFRASTRUCTURE_PERIOD = 2.0  # seconds in which they crash
 EXPLAINED_PERIOD = 2.0  # seconds around a block in which a crash is explained
@@ -118,7 +121,9 @@
         return self._merge_crash(CrashNoted(key, upstream, strong, 0.0), now)
 
     def merge(
-        self, fact: CrashNoted | SuspectPlaced | FingerprintBlocked, now: float
+        self,
+        fact: CrashNoted | SuspectPlaced | FingerprintBlocked | CrashDenied,
+        now: float,
     ) -> list[Action]:
         """Take in another node's word, and pass it on if it is new."""
         match fact:
@@ -128,6 +133,20 @@
                 return self._merge_placed(fact, now)
             case FingerprintBlocked():
                 return self._block(fact, now)
+            case CrashDenied():
+                return self._deny(fact, now)
+
+    def merge_probe(self, event: UpstreamProbed, now: float) -> list[Action]:
+        """Take back a crash if the upstream answers right after it.
+
+        An engine that crashed has its weights to load before it answers.
+        """
+        crashed_at = self._crashed_at.get(event.upstream)
+        if not event.answered or crashed_at is None:
+            return []
+        if now - crashed_at > DENIAL_PERIOD:
+            return []
+        return self._deny(CrashDenied(event.upstream, 0.0), now)
 
     def fire(self, now: float) -> list[Action]:
         """Name the requests whose second crash was heard out."""
@@ -212,6 +231,15 @@
         actions.extend(self._gossip.spread(f"blocked:{key}", fact, now))
         return actions
 
+    def _deny(self, fact: CrashDenied, now: float) -> list[Action]:
+        at = now - fact.age
+        known = self._explained_at.get(fact.upstream)
+        if known is not None and at - known < EXPLAINED_PERIOD:
+            return []
+        self._crashed_at.pop(fact.upstream, None)
+        self._absolve(frozenset([fact.upstream]), at)
+        return self._gossip.spread(f"denied:{fact.upstream}", fact, now)
+
     def _has_ended(self, fact: CrashNoted, now: float) -> bool:
         """Tell whether a crash's suspicion is over, or explained by another."""
         at = now - fact.age
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -49,11 +49,14 @@
         Nothing is answered.
     slow : float
         Seconds added to each stage of each token.
+    cut : int
+        Position at which the stream to a node breaks; negative for never.
     """
 
     leaving: bool = False
     frozen: bool = False
     slow: float = 0.0
+    cut: int = -1
 
 
 @dataclass(slots=True)
@@ -173,6 +176,9 @@
             state.running += 1
             try:
                 async for item in _generate_items(state, work):
+                    if item.get("position") == state.faults.cut:
+                        state.faults.cut = -1
+                        raise ConnectionResetError("cut by a fault")
                     item["request"] = work["request"]
                     item["attempt"] = work["attempt"]
                     yield b"data: " + orjson.dumps(item) + b"\n\n"
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -146,6 +146,19 @@
     assert find_faults(fleet) == []
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_cut_connections_are_no_crash(seed: int) -> None:
+    fleet = VirtualFleet(make_configuration(4), 3, seed)
+    fleet.ask("node-0", "one", 30)
+    for _ in range(4):
+        fleet.run(0.6)
+        fleet.engines.cut_stream("request-1")
+        fleet.run(0.002)
+        fleet.engines.cut_stream("request-1")
+    fleet.run(20)
+    assert find_faults(fleet) == []
+
+
 def test_running_suspects_are_not_put_together(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
