--- a/src/tarragonrudder/core/quarantine.py
+++ b/src/tarragonrudder/core/quarantine.py
@@ -21,6 +21,7 @@
 SUSPECT_PERIOD = 60.0  # seconds after a crash
 PLACED_PERIOD = 20.0  # seconds that a peer's word of a placement holds
 HEARING_DELAY = 0.25  # seconds in which peers' word of the same crash comes
+MAX_DENIALS = 2  # crashes of a request in a row that a probe may take back
 DENIAL_PERIOD = 0.6  # seconds after a crash in which no engine is back
 INFRASTRUCTURE_CRASHES = 2  # other upstreams whose crash excuses suspects
 INFRASTRUCTURE_PERIOD = 2.0  # seconds in which they crash
@@ -55,6 +56,7 @@
         self._cleared_at: dict[str, float] = {}
         self._explained_at: dict[str, float] = {}
         self._crashed_at: dict[str, float] = {}
+        self._denials: dict[str, int] = {}
 
     def check(self, fingerprint: str, now: float) -> float:
         """Return the seconds for which a fingerprint is refused, 0 if not."""
@@ -110,6 +112,7 @@
     def clear(self, fingerprint: str, now: float) -> None:
         """End the suspicion of a request that ran on without a crash."""
         key = fingerprint[:KEY_LENGTH]
+        self._denials.pop(key, None)
         if self._suspects.pop(key, None) is not None:
             self._cleared_at[key] = now
 
@@ -181,6 +184,8 @@
             for key, at in list(ended.items()):
                 if at + SUSPECT_PERIOD <= now:
                     del ended[key]
+        if len(self._denials) > MAX_SUSPECTS:
+            self._denials.clear()
 
     def __len__(self) -> int:
         return len(self._suspects) + len(self._blocked_since)
@@ -236,6 +241,9 @@
         known = self._explained_at.get(fact.upstream)
         if known is not None and at - known < EXPLAINED_PERIOD:
             return []
+        for key, suspect in self._suspects.items():
+            if fact.upstream in suspect.strong:
+                self._denials[key] = self._denials.get(key, 0) + 1
         self._crashed_at.pop(fact.upstream, None)
         self._absolve(frozenset([fact.upstream]), at)
         return self._gossip.spread(f"denied:{fact.upstream}", fact, now)
@@ -245,7 +253,7 @@
         at = now - fact.age
         explained = self._explained_at.get(fact.upstream)
         if explained is not None and abs(at - explained) < EXPLAINED_PERIOD:
-            return True
+            return self._denials.get(fact.fingerprint, 0) <= MAX_DENIALS
         cleared = self._cleared_at.get(fact.fingerprint, -SUSPECT_PERIOD)
         return fact.age >= SUSPECT_PERIOD or at <= cleared
 
@@ -254,6 +262,8 @@
         for upstream in explained:
             self._explained_at[upstream] = at
         for key, suspect in list(self._suspects.items()):
+            if self._denials.get(key, 0) > MAX_DENIALS:
+                continue
             for upstream in explained & suspect.crashes.keys():
                 del suspect.crashes[upstream]
             if not suspect.crashes:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tarragonrudder.core.event import UpstreamProbed
 from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.message import CrashNoted, FingerprintBlocked
 from tarragonrudder.core.quarantine import (
@@ -146,6 +147,19 @@
     assert find_faults(fleet) == []
 
 
+def test_engines_that_restart_at_once_do_not_hide_a_culprit() -> None:
+    quarantine = make_quarantine()
+    now = 10.0
+    for index in range(6):
+        now += 1.0
+        quarantine.record_crash(A, f"u{index}", True, now)
+        quarantine.merge_probe(UpstreamProbed(f"u{index}", True), now + 0.1)
+        quarantine.fire(now + 0.5)
+        if quarantine.check(A, now + 0.5) > 0:
+            break
+    assert index < 4
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_cut_connections_are_no_crash(seed: int) -> None:
     fleet = VirtualFleet(make_configuration(4), 3, seed)
