--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -13,7 +13,7 @@
 from tarragonrudder.core.admission import Ticket
 from tarragonrudder.core.assembly import Assembly, TokenFault
 from tarragonrudder.core.attempt import Answer, describe_attempt, make_attempt
-from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.budget import WorkBudget
 from tarragonrudder.core.diagnosis import PROBE_TIMEOUT, Diagnosis, Finding
 from tarragonrudder.core.event import (
     AttemptEnded,
@@ -60,7 +60,7 @@
         membership: Membership,
         selector: Selector,
         quarantine: Quarantine,
-        budget: RetryBudget,
+        budget: WorkBudget,
     ) -> None:
         self._membership = membership
         self._selector = selector
@@ -145,8 +145,8 @@
         answer = self._find(event.request, event.attempt)
         if answer is None:
             return []
-        if event.upstream is None:
-            # Which stage is at fault is found out, not guessed.
+        if event.upstream is None or isinstance(event.failure, Stalled):
+            # A stage that waited can't tell which of those behind it is at fault.
             answer.broken = True
             return self._suspect_stall(answer, now)
         return self._break_off(answer, event.failure, event.upstream, now)
@@ -363,7 +363,7 @@
         self._selector.finish(answer.chain)
         self._quarantine.clear(answer.chat.fingerprint, now)
         actions: list[Action] = [
-            EndAnswer(answer.request, end.finish_reason, end.length)
+            EndAnswer(answer.request, end.finish_reason, end.length, end.prompt_tokens)
         ]
         actions.extend(self._forget(answer))
         return actions
--- a/src/tarragonrudder/core/budget.py
+++ b/src/tarragonrudder/core/budget.py
@@ -1,17 +1,36 @@
-"""Budget that keeps the work of retries to a share of the load.
+"""Budgets that keep retries to a share of the load."""
 
-The unit is one token passed through all layers of its model. Work on a part
-of the layers counts in proportion, and a kept KV cache costs nothing.
-"""
-
-RETRY_SHARE = 0.1  # work of retries for each unit of load
+RETRY_SHARE = 0.1  # retries for each first attempt, or their work for its work
+MINIMUM_RETRIES = 10.0  # retries that a quiet node may make at once
 MIN_RATE = 50.0  # units a second that a node without load may spend
 MIN_RESERVE = 4000.0  # units that a node may spend at once
 RESERVE_PERIOD = 60.0  # seconds of load whose share a node may save up
 
 
 class RetryBudget:
-    """Grows with the load and shrinks with each retry."""
+    """Retries of calls: grows with each first attempt, shrinks with each retry."""
+
+    def __init__(self) -> None:
+        self._balance = MINIMUM_RETRIES
+
+    def deposit(self) -> None:
+        """Count a first attempt."""
+        self._balance = min(MINIMUM_RETRIES * 10, self._balance + RETRY_SHARE)
+
+    def withdraw(self) -> bool:
+        """Take one retry; False if the budget is spent."""
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
+
+
+class WorkBudget:
+    """Work of an answer's further attempts: grows with the load.
+
+    The unit is one token passed through all layers of its model. Work on a
+    part of the layers counts in proportion, and a kept KV cache costs nothing.
+    """
 
     def __init__(self) -> None:
         self._balance = MIN_RESERVE
--- a/src/tarragonrudder/core/chain.py
+++ b/src/tarragonrudder/core/chain.py
@@ -25,6 +25,7 @@
 
     attempt: int
     upstream: str
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,16 +126,16 @@
     """
     if emitted == 0:
         return chain
-    held: dict[LayerRange, str] = {}
+    held: dict[LayerRange, Hop] = {}
     if previous is not None:
-        held = {hop.layers: hop.upstream for hop in previous.hops}
+        held = {hop.layers: hop for hop in previous.hops}
     hops = []
     for hop in chain.hops:
         source = held.get(hop.layers)
         cache: CacheSource = ReplayedCache()
-        if source is not None and source in alive:
-            cache = ImportedCache(attempt, source)
-            if source == hop.upstream:
+        if source is not None and source.upstream in alive:
+            cache = ImportedCache(attempt, source.upstream, source.address)
+            if source.upstream == hop.upstream:
                 cache = KeptCache(attempt)
         hops.append(replace(hop, cache=cache))
     return replace(chain, hops=tuple(hops))
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tarragonrudder.core.action import (
     Action,
@@ -14,7 +14,7 @@
 from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket
 from tarragonrudder.core.adoption import Adoption
 from tarragonrudder.core.answer import Answers
-from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.budget import RetryBudget, WorkBudget
 from tarragonrudder.core.call import Calls
 from tarragonrudder.core.event import (
     AttemptEnded,
@@ -26,11 +26,18 @@
     Event,
     LoadReported,
     NodesListed,
+    OutcomeRead,
+    PeerLost,
     PeerReached,
+    PlatformFailed,
+    PlatformValue,
     ServiceAnswered,
     ServiceFailed,
     ServiceRequested,
     StopRequested,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
     TimerFired,
     TokensArrived,
     UpstreamProbed,
@@ -41,10 +48,17 @@
 from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
-from tarragonrudder.core.message import Fact, Facts, UpstreamLeaving
+from tarragonrudder.core.message import (
+    Fact,
+    Facts,
+    RecordDecided,
+    RecordSubmitted,
+    UpstreamLeaving,
+)
 from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
+from tarragonrudder.core.shard import RecordOptions
 from tarragonrudder.errors import (
     DeadlineExceeded,
     NotFound,
@@ -66,11 +80,14 @@
     balancer_lag : float
         Seconds for which the balancer may still send work after ``/readyz``
         turned false.
+    records : RecordOptions
+        Sizes of the action records' storage.
     """
 
     name: str
     data_center: str
     balancer_lag: float = 2.0
+    records: RecordOptions = field(default_factory=RecordOptions)
 
 
 class Node:
@@ -89,10 +106,11 @@
         self.admission = Admission()
         self.quarantine = Quarantine(self.gossip)
         self.budget = RetryBudget()
+        self.work_budget = WorkBudget()
         self.answers = Answers(
-            self.membership, self.selector, self.quarantine, self.budget
+            self.membership, self.selector, self.quarantine, self.work_budget
         )
-        self.calls = Calls(self.membership)
+        self.calls = Calls(self.membership, self.budget, options.name, options.records)
 
     @property
     def configuration(self) -> Configuration:
@@ -149,6 +167,8 @@
                 return self.calls.merge_answer(event, now)
             case ServiceFailed():
                 return self.calls.merge_failure(event, now)
+            case OutcomeRead():
+                return self.calls.merge_outcome(event, now)
             case CallerGone():
                 return self._drop(event.request, now)
             case LoadReported():
@@ -164,8 +184,19 @@
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes)
+                self.calls.recorder.set_nodes(event.nodes)
             case ConfigurationRead():
                 return self._adopt(event.configuration)
+            case (
+                PlatformValue()
+                | Swapped()
+                | SwapConflicted()
+                | SwapLost()
+                | PlatformFailed()
+            ) if event.tag.startswith("record:"):
+                return self.calls.recorder.handle_platform(event, now)
+            case PeerLost(message=message):
+                return self.calls.recorder.handle_lost(message, now)
             case PeerReached():
                 return self._hear(event, now)
             case TimerFired():
@@ -264,6 +295,8 @@
                 for fact in facts:
                     actions.extend(self._learn(fact, now))
                 return actions
+            case RecordSubmitted() | RecordDecided() as message:
+                return self.calls.recorder.handle_peer(event.node, message, now)
         return self.limits.handle_peer(event.node, event.message, now)
 
     def _learn(self, fact: Fact, now: float) -> list[Action]:
@@ -275,6 +308,10 @@
     def _fire(self, timer: str, now: float) -> list[Action]:
         if timer.startswith("answer-"):
             return self.answers.fire(timer, now)
+        if timer.startswith("record-"):
+            return self.calls.recorder.fire(timer, now)
+        if timer.startswith("call-"):
+            return self.calls.keyed.fire(timer, now)
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
@@ -298,7 +335,7 @@
 
     def _settle(self, now: float) -> list[Action]:
         """End what has ended and start what may start now."""
-        actions: list[Action] = []
+        actions = self.calls.keyed.settle(now)
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
             self.admission.release(request, tokens, now)
--- a/src/tarragonrudder/core/recovery.py
+++ b/src/tarragonrudder/core/recovery.py
@@ -5,7 +5,7 @@
 
 from tarragonrudder.core.action import Action, LogDecision
 from tarragonrudder.core.attempt import Answer
-from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.budget import WorkBudget
 from tarragonrudder.core.chain import (
     Chain,
     KeptCache,
@@ -65,7 +65,7 @@
         membership: Membership,
         selector: Selector,
         quarantine: Quarantine,
-        budget: RetryBudget,
+        budget: WorkBudget,
     ) -> None:
         self._membership = membership
         self._selector = selector
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -8,7 +8,7 @@
 
 from tarragonrudder.core.answer import Answers
 from tarragonrudder.core.assembly import Assembly
-from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.budget import WorkBudget
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
@@ -331,7 +331,7 @@
 
 
 def test_missing_budget_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(RetryBudget, "withdraw", lambda self, work, now: True)
+    monkeypatch.setattr(WorkBudget, "withdraw", lambda self, work, now: True)
     extra, limit = measure_storm()
     assert extra > limit
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -4,7 +4,7 @@
     MIN_RATE,
     MIN_RESERVE,
     RETRY_SHARE,
-    RetryBudget,
+    WorkBudget,
 )
 
 
@@ -12,7 +12,7 @@
     ("load", "seconds"), [(0.0, 100.0), (1000.0, 100.0), (20000.0, 300.0)]
 )
 def test_spent_work_is_a_share_of_the_load(load: float, seconds: float) -> None:
-    budget = RetryBudget()
+    budget = WorkBudget()
     deposited = 0.0
     for step in range(int(seconds * 10)):
         now = step / 10
@@ -25,7 +25,7 @@
 
 
 def test_retry_larger_than_the_reserve_is_not_refused_for_ever() -> None:
-    budget = RetryBudget()
+    budget = WorkBudget()
     assert budget.withdraw(10 * MIN_RESERVE, 0.0)
     assert not budget.withdraw(1.0, 1.0)
     assert budget.withdraw(1.0, 10 * MIN_RESERVE / MIN_RATE)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -160,5 +160,7 @@
         for action in gossip.fire(now):
             if isinstance(action, SendPeer):
                 assert isinstance(action.message, Facts)
-                sent += len(encode_message("node-1", action.message, now)) + 300
+                sent += (
+                    len(encode_message("node-1", "node-2", action.message, now)) + 300
+                )
     assert sent <= BURST_BYTES + BYTES_PER_SECOND * 600
