--- a/src/tarragonrudder/core/record.py
+++ b/src/tarragonrudder/core/record.py
@@ -132,24 +132,30 @@
     ``Unknown`` are final; a claim succeeds only where no record stands, where
     one was withdrawn by another writer, or where one is past its retention.
     """
-    match command:
-        case Claim():
-            return _decide_claim(current, command, now, retention)
-        case Finish():
-            state: State = command.outcome
-        case Doubt():
-            state = Unknown()
-        case Withdraw():
-            state = Withdrawn(command.writer)
+    if isinstance(command, Claim):
+        return _decide_claim(current, command, now, retention)
     if current is not None and current.state != Pending(command.writer):
         return current
-    return Record(command.identity, command.digest, now, state)
+    return Record(command.identity, command.digest, now, make_state(command))
+
+
+def make_state(command: Command) -> State:
+    """Return the state that a command asks for."""
+    match command:
+        case Claim(writer=writer):
+            return Pending(writer)
+        case Finish(outcome=outcome):
+            return outcome
+        case Doubt():
+            return Unknown()
+        case Withdraw(writer=writer):
+            return Withdrawn(writer)
 
 
 def _decide_claim(
     current: Record | None, command: Claim, now: float, retention: float
 ) -> Record:
-    claimed = Record(command.identity, command.digest, now, Pending(command.writer))
+    claimed = Record(command.identity, command.digest, now, make_state(command))
     if current is None:
         return claimed
     match current.state:
--- a/src/tarragonrudder/core/recorder.py
+++ b/src/tarragonrudder/core/recorder.py
@@ -28,10 +28,12 @@
 from tarragonrudder.core.ownership import find_owner
 from tarragonrudder.core.record import (
     Command,
+    Record,
     decode_command,
     decode_record,
     encode_command,
     encode_record,
+    make_state,
 )
 from tarragonrudder.core.shard import (
     Decided,
@@ -42,6 +44,7 @@
 )
 
 KEY_PREFIX = "/tarragonrudder/records/"
+AS_COMMANDED = "="
 FORWARD_TIMEOUT = 0.8  # seconds for the owner's decision
 OWNER_DEADLINE = 2.0  # seconds for which an owner tries a peer's command
 AVOID_PERIOD = 5.0  # seconds without commands for an owner that did not answer
@@ -96,6 +99,8 @@
         queued = Queued(ticket, command, deadline, now)
         number = find_shard(command.identity, self._options)
         owner = self._find_owner(number)
+        if len(self._nodes) <= self._options.direct_nodes:
+            owner = None
         avoided = self._avoided.get(owner or "", -math.inf) > now
         if owner is None or owner == self._name or avoided:
             return self._work(number, queued, now)
@@ -142,11 +147,11 @@
                 if forwarded is None or forwarded.owner != node:
                     return []
                 try:
-                    record = decode_record(line) if line else None
+                    record = _decode_decision(line, forwarded.queued.command, now)
                 except ValueError as error:
                     return [_log_damaged(node, error)]
                 del self._forwarded[ticket]
-                self._decided.append(Decided(ticket, record))
+                self._decided.append(Decided(ticket, forwarded.queued.command, record))
                 return [ClearTimer(f"record-forward:{ticket}")]
 
     def handle_lost(self, message: object, now: float) -> list[Action]:
@@ -200,7 +205,7 @@
                 self._decided.append(decided)
                 continue
             record = decided.record
-            line = encode_record(record) if record is not None else ""
+            line = _encode_decision(record, decided.command)
             actions.append(SendPeer(origin, RecordDecided(decided.ticket, line)))
         return actions
 
@@ -210,6 +215,23 @@
         return self._owners[number]
 
 
+def _encode_decision(record: Record | None, command: Command) -> str:
+    """Return a decision for the wire; one as commanded needs no record."""
+    if record is None:
+        return ""
+    if record.digest == command.digest and record.state == make_state(command):
+        return AS_COMMANDED
+    return encode_record(record)
+
+
+def _decode_decision(line: str, command: Command, now: float) -> Record | None:
+    if not line:
+        return None
+    if line == AS_COMMANDED:
+        return Record(command.identity, command.digest, now, make_state(command))
+    return decode_record(line)
+
+
 def _log_damaged(node: str, error: ValueError) -> LogDecision:
     fields = {"node": node, "reason": str(error)}
     return LogDecision("record_message_refused", fields)
--- a/src/tarragonrudder/core/shard.py
+++ b/src/tarragonrudder/core/shard.py
@@ -45,6 +45,9 @@
         Values of one shard's ring.
     slot_bytes : int
         A content of at least this size is sealed.
+    seal_age : float
+        Seconds after which a content is sealed whatever its size, so that
+        what is kept follows the load and not the ring's size.
     slot_limit : int
         Bytes beyond which nothing is added to a content.
     batch_bytes : int
@@ -53,15 +56,19 @@
         Seconds for which a record is kept at least.
     commit_interval : float
         Mean seconds between two swaps of a busy shard.
+    direct_nodes : int
+        Up to this number of live nodes each node makes its own swaps.
     """
 
     shards: int = 64
     slots: int = 16
     slot_bytes: int = 128 * 1024
+    seal_age: float = 225.0
     slot_limit: int = 900 * 1024
     batch_bytes: int = 64 * 1024
     retention: float = 1800.0
     commit_interval: float = 0.3
+    direct_nodes: int = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +96,7 @@
     """A command's end: the record that stands, None if that is not known."""
 
     ticket: str
+    command: Command
     record: Record | None
 
 
@@ -184,7 +192,7 @@
             self._rebuild()
         for queued, record in swap.batch:
             self._index[record.identity] = record
-            self._decided.append(Decided(queued.ticket, record))
+            self._decided.append(Decided(queued.ticket, queued.command, record))
         self._complete_at = swap.begun
         interval = self._options.commit_interval
         self._paid_until = max(self._paid_until, swap.begun) + interval
@@ -222,7 +230,7 @@
         kept = []
         for queued in self._queue:
             if queued.deadline <= now:
-                self._decided.append(Decided(queued.ticket, None))
+                self._decided.append(Decided(queued.ticket, queued.command, None))
                 continue
             kept.append(queued)
         self._queue = kept
@@ -309,12 +317,12 @@
                 if _is_lasting(record, queued.command) or (
                     queued.at <= self._complete_at
                 ):
-                    self._decided.append(Decided(queued.ticket, record))
+                    self._decided.append(Decided(queued.ticket, queued.command, record))
                 else:
                     unsure.append(queued)
                 continue
             if full and isinstance(queued.command, Claim):
-                self._decided.append(Decided(queued.ticket, None))
+                self._decided.append(Decided(queued.ticket, queued.command, None))
                 continue
             line = encode_record(record)
             limit = self._options.slot_limit - slot.size
@@ -337,7 +345,10 @@
             return actions
         changed = replace(slot, lines=[*slot.lines], records=[*slot.records])
         changed.append(lines)
-        changed.sealed = changed.size >= self._options.slot_bytes and next_free
+        changed.sealed = next_free and (
+            changed.size >= self._options.slot_bytes
+            or now - changed.oldest >= self._options.seal_age
+        )
         tag = self._make_tag()
         self._swap = _Swap(tag, index, changed, tuple(batch), now)
         key = self._name(index)
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -19,7 +19,9 @@
 
 ROUTE_TIMEOUT = 2.0  # seconds
 LINK_DELAY = 0.001  # seconds
-SMALL = RecordOptions(shards=2, slots=4, slot_bytes=4096, retention=600.0)
+SMALL = RecordOptions(
+    shards=2, slots=4, slot_bytes=4096, retention=600.0, direct_nodes=0
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -1,5 +1,5 @@
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 from hypothesis import given, settings
@@ -14,6 +14,7 @@
 from tarragonrudder.core.shard import RecordOptions, Shard
 from tests.standins.world import SMALL, World
 
+DIRECT = replace(SMALL, direct_nodes=16)
 LONG = 60.0  # seconds, beyond the time for which a call may stay pending
 NOT_SENT = "platform_unavailable not_run"
 UNKNOWN = "outcome_unknown unknown"
@@ -368,6 +369,7 @@
     runs=RUNS,
     delay=st.sampled_from([0.01, 0.5, 1.5]),
     asks=st.booleans(),
+    options=st.sampled_from([SMALL, DIRECT]),
 )
 
 
@@ -380,8 +382,9 @@
     runs: list[str],
     delay: float,
     asks: bool,
+    options: RecordOptions,
 ) -> None:
-    world = run_schedule(sends, faults, swaps, runs, delay, asks)
+    world = run_schedule(sends, faults, swaps, runs, delay, asks, options)
     world.judge()
     # Every caller whose node lives on is answered.
     for request, sent in world.sent.items():
@@ -416,7 +419,7 @@
 MERGE_FAILURE = Shard.merge_failure
 DECIDE = record.decide_record
 ONE_SEND = [(0.0, 0, "k", "a"), (0.0, 1, "k", "a"), (6.0, 2, "k", "a")]
-SHORT = RecordOptions(shards=2, slots=4, slot_bytes=4096, retention=0.5)
+SHORT = RecordOptions(shards=2, slots=4, slot_bytes=4096, retention=0.5, direct_nodes=0)
 VIEWS = [Fault(0.0, "cut", 0)]
 
 
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -182,12 +182,28 @@
         assert len(value) < 4 * OPTIONS.slot_bytes
 
 
+def test_old_content_is_sealed_whatever_its_size() -> None:
+    options = RecordOptions(shards=1, slots=3, seal_age=20.0, retention=50.0)
+    values = Values()
+    shard = Shard(0, "/r/", options)
+    for step in range(30):
+        now = 100.0 + 5.0 * step
+        assert values.do(shard, claim(f"k{step}", "a"), now) is not None
+        other = Shard(0, "/r/", options)
+        for earlier in range(max(0, step - 9), step):
+            record = values.do(other, claim(f"k{earlier}", "b"), now)
+            assert record.state == Pending("a")
+    assert len(values.values) == options.slots
+    for value, _ in values.values.values():
+        assert value.count(b"\n") < 12
+
+
 def test_overdue_command_ends_undecided() -> None:
     shard = Shard(0, "/r/", OPTIONS)
     shard.submit(Queued("t", claim("k", "a"), 101.0, 100.0))
     shard.advance(100.0)
     shard.advance(102.0)
-    assert shard.take_decided() == [Decided("t", None)]
+    assert shard.take_decided() == [Decided("t", claim("k", "a"), None)]
 
 
 @pytest.mark.parametrize("value", [b"", b"{}", b"\xff", b'{"sequence":0}', b"[]\n[]"])
