--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -7,8 +7,8 @@
 
 from tarragonrudder.core import keyed as keyed_module
 from tarragonrudder.core import pool, record
-from tarragonrudder.core.action import CallService
-from tarragonrudder.core.event import CallerGone
+from tarragonrudder.core.action import CallService, StopNode
+from tarragonrudder.core.event import CallerGone, StopRequested
 from tarragonrudder.core.keyed import KeyedCalls
 from tarragonrudder.core.keyedcall import Phase
 from tarragonrudder.core.shard import RecordOptions, Shard
@@ -462,3 +462,37 @@
         world = run_schedule(ONE_SEND, VIEWS, swaps, runs, delay, False)
         world.judge()
     run_schedule(ONE_SEND, VIEWS, ["dropped"], [], 0.01, False).judge()
+
+
+def test_planned_stop_waits_for_the_outcome() -> None:
+    world = World()
+    world.service_delay = 1.5
+    request = world.send("node-0", "k")
+    stopped: list[float] = []
+
+    def note_stop(name: str, item: object) -> bool:
+        if isinstance(item, StopNode):
+            stopped.append(world.now)
+        return bool(stopped)
+
+    world.probe = note_stop
+    world.run(0.5)
+    world.post("node-0", StopRequested())
+    world.run(LONG)
+    assert world.kind(request) == "201"
+    assert stopped and stopped[0] >= world.answers[request][0]
+    second = world.send("node-1", "k")
+    world.run(1.0)
+    assert world.kind(second) == "201 replayed"
+
+
+def test_log_holds_neither_key_nor_body() -> None:
+    world = World()
+    world.answer_body = b"answer-in-confidence"
+    for node in ("node-0", "node-1"):
+        world.send(node, "key-in-confidence", "body-in-confidence")
+        world.run(1.0)
+    decisions = {log.decision for log in world.logs}
+    expected = {"intent_committed", "call_sent", "outcome_recorded", "resend_answered"}
+    assert expected <= decisions
+    assert "in-confidence" not in repr(world.logs)
--- /dev/null
+++ b/tests/test_recorder.py
@@ -0,0 +1,114 @@
+import pytest
+
+from tarragonrudder.core.action import (
+    Action,
+    LogDecision,
+    ReadPlatform,
+    SendPeer,
+    SwapPlatform,
+)
+from tarragonrudder.core.event import NodeAddress, PlatformValue, Swapped
+from tarragonrudder.core.message import RecordDecided, RecordSubmitted
+from tarragonrudder.core.record import (
+    Claim,
+    Finished,
+    Pending,
+    Record,
+    encode_command,
+    encode_record,
+)
+from tarragonrudder.core.recorder import Recorder
+from tarragonrudder.core.shard import RecordOptions
+
+OPTIONS = RecordOptions(shards=1, slots=2, direct_nodes=0)
+NODES = tuple(NodeAddress(name, name, "mi-1") for name in ("a", "b"))
+CLAIM = Claim("id", "digest", "call-1")
+NOW = 1000.0
+
+
+def make_pair() -> tuple[Recorder, Recorder, str]:
+    """Return the recorder of a node, its shard's owner and the owner's name."""
+    recorders = {name: Recorder(name, OPTIONS) for name in ("a", "b")}
+    for recorder in recorders.values():
+        recorder.set_nodes(NODES)
+    for name, recorder in recorders.items():
+        sent = recorder.submit("probe", CLAIM, NOW + 3.0, NOW)
+        owners = [item.node for item in sent if isinstance(item, SendPeer)]
+        if owners:
+            other = Recorder(name, OPTIONS)
+            other.set_nodes(NODES)
+            owner = Recorder(owners[0], OPTIONS)
+            owner.set_nodes(NODES)
+            return other, owner, owners[0]
+    raise AssertionError("no node forwards")
+
+
+def serve(recorder: Recorder, actions: list[Action]) -> list[Action]:
+    """Let an empty platform answer; return the other actions."""
+    left = []
+    pending = list(actions)
+    while pending:
+        match pending.pop(0):
+            case ReadPlatform(tag=tag, key=key):
+                value = PlatformValue(tag, key, None, 0)
+                pending += recorder.handle_platform(value, NOW)
+            case SwapPlatform(tag=tag, key=key):
+                pending += recorder.handle_platform(Swapped(tag, key, 1), NOW)
+            case other:
+                left.append(other)
+    return left
+
+
+def test_owner_decides_for_a_peer() -> None:
+    node, owner, name = make_pair()
+    (sent, _) = node.submit("t", CLAIM, NOW + 3.0, NOW)
+    assert sent == SendPeer(name, RecordSubmitted("t", encode_command(CLAIM)))
+    actions = serve(owner, owner.handle_peer("a", sent.message, NOW))
+    (reply,) = [item for item in actions if isinstance(item, SendPeer)]
+    node.handle_peer(name, reply.message, NOW)
+    (decided,) = node.take_decided()
+    assert decided.record == Record("id", "digest", NOW, Pending("call-1"))
+
+
+@pytest.mark.parametrize("way", ["timer", "lost"])
+def test_node_does_without_a_silent_owner(way: str) -> None:
+    node, _, name = make_pair()
+    (sent, _) = node.submit("t", CLAIM, NOW + 3.0, NOW)
+    if way == "timer":
+        actions = node.fire("record-forward:t", NOW)
+    else:
+        actions = node.handle_lost(sent.message, NOW)
+    serve(node, actions)
+    (decided,) = node.take_decided()
+    assert decided.record is not None
+    # The owner's own decision comes too late to count.
+    late = encode_record(Record("id", "digest", NOW, Finished(201, "", b"")))
+    node.handle_peer(name, RecordDecided("t", late), NOW)
+    assert node.take_decided() == []
+    # For a while, commands go past this owner.
+    again = node.submit("u", CLAIM, NOW + 3.0, NOW)
+    assert not any(isinstance(item, SendPeer) for item in again)
+
+
+@pytest.mark.parametrize(
+    ("sender", "message"),
+    [
+        ("owner", RecordSubmitted("x", "not JSON")),
+        ("owner", RecordSubmitted("x", '["Claim"]')),
+        ("owner", RecordDecided("t", "[1]")),
+        ("owner", RecordDecided("other", "=")),
+        ("stranger", RecordDecided("t", "=")),
+    ],
+)
+def test_bad_message_changes_nothing(
+    sender: str, message: RecordSubmitted | RecordDecided
+) -> None:
+    node, _, name = make_pair()
+    node.submit("t", CLAIM, NOW + 3.0, NOW)
+    source = name if sender == "owner" else sender
+    actions = node.handle_peer(source, message, NOW)
+    assert all(isinstance(item, LogDecision) for item in actions)
+    assert node.take_decided() == []
+    # The owner's proper decision still counts.
+    node.handle_peer(name, RecordDecided("t", "="), NOW)
+    assert len(node.take_decided()) == 1
