--- a/src/tarragonrudder/edges/merging.py
+++ b/src/tarragonrudder/edges/merging.py
@@ -137,7 +137,7 @@
         header = layer.section.header
         place = layer.part.locate(removal.line)
         if removal.value != "yes":
-            text = "remove: write yes or leave it out"
+            text = "remove: only yes may stand here; write yes or leave it out"
             self.findings.append(f"{place}: [{header}] {text}")
             return
         if len(layer.section.entries) > 1:
--- a/src/tarragonrudder/edges/platform.py
+++ b/src/tarragonrudder/edges/platform.py
@@ -49,9 +49,16 @@
 class PlatformClient:
     """Get, range, compare-and-swap, leases and watches over HTTP with JSON."""
 
-    def __init__(self, address: str, timeout: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout: float,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
         self._timeout = timeout
-        self._client = httpx.AsyncClient(base_url=address, timeout=timeout)
+        self._client = httpx.AsyncClient(
+            base_url=address, timeout=timeout, transport=transport
+        )
         self.last_error: str | None = None  # None after a call that succeeded
 
     async def close(self) -> None:
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -146,9 +146,13 @@
 
     def prepare_node(self, name: str) -> None:
         """Write a node's settings."""
-        caller, peer = find_ports(2)
+        (caller,) = find_ports(1)
         self.addresses[name] = f"http://127.0.0.1:{caller}"
-        self.peer_addresses[name] = f"http://127.0.0.1:{peer}"
+        for other in [*self.nodes, name]:
+            if other not in self.peer_addresses:
+                (port,) = find_ports(1)
+                self.peer_addresses[other] = f"http://127.0.0.1:{port}"
+        peer = self.peer_addresses[name].rpartition(":")[2]
         secret = self.folder / "peer-secret"
         secret.write_text("loopback-secret")
         settings = self.folder / f"{name}.ini"
