--- a/src/tarragonrudder/cli.py
+++ b/src/tarragonrudder/cli.py
@@ -20,11 +20,15 @@
     write_files,
 )
 from tarragonrudder.commands.output import print_json, print_table
-from tarragonrudder.commands.remote import FleetReport, run_remote
+from tarragonrudder.commands.remote import FleetReport, Remote, run_remote
 from tarragonrudder.commands.settings import choose_platform, read_tool_settings
+from tarragonrudder.edges.exchange import ExchangeClient
 from tarragonrudder.edges.folder import build_configuration
+from tarragonrudder.edges.metrics import Metrics
+from tarragonrudder.edges.peer import parse_secrets
 from tarragonrudder.edges.pieces import digest_files
 from tarragonrudder.edges.platform import PlatformAnswerLost, PlatformError
+from tarragonrudder.edges.tls import make_peer_context
 from tarragonrudder.errors import (
     ConflictError,
     FolderError,
@@ -63,7 +67,7 @@
         tool = read_tool_settings(settings)
         files = read_folder(str(folder))
         address = choose_platform(platform, tool)
-        known = run_remote(address, tool.timeout, lambda remote: remote.pull())
+        known = run_remote(address, tool.operator.timeout, lambda remote: remote.pull())
         differences = compare_folders(known.files, files)
         if json:
             print_json([dataclasses.asdict(item) for item in differences])
@@ -94,14 +98,14 @@
         base = read_base(str(folder)).revision if revision is None else int(revision)
         address = choose_platform(platform, tool)
         written = run_remote(
-            address, tool.timeout, lambda remote: remote.apply(base, files)
+            address, tool.operator.timeout, lambda remote: remote.apply(base, files)
         )
         _note_base(str(folder), Base(written, digest))
         generation = None
         if wait > 0:
             accepted = run_remote(
                 address,
-                tool.timeout,
+                tool.operator.timeout,
                 lambda remote: remote.wait_accepted(written, float(wait)),
             )
             generation = accepted.generation
@@ -125,7 +129,7 @@
         address = choose_platform(platform, tool)
         if not force:
             _check_unchanged(str(folder))
-        known = run_remote(address, tool.timeout, lambda remote: remote.pull())
+        known = run_remote(address, tool.operator.timeout, lambda remote: remote.pull())
         if known.revision == 0:
             raise FolderError(["the platform has no folder yet; apply one first"])
         write_files(str(folder), known.files)
@@ -145,11 +149,20 @@
         """Show all nodes, what each has in force, and why a folder was rejected."""
         tool = read_tool_settings(settings)
         address = choose_platform(platform, tool)
-        secret = None
-        path = secret_file or tool.peer_secret_file
-        if path is not None:
-            secret = pathlib.Path(str(path)).read_bytes().strip()
-        report = run_remote(address, tool.timeout, lambda remote: remote.report(secret))
+        path = secret_file or tool.operator.peer_secret_file
+
+        async def work(remote: Remote) -> FleetReport:
+            if path is None:
+                return await remote.report(None)
+            secrets = parse_secrets(pathlib.Path(str(path)).read_bytes())
+            context = make_peer_context(tool.tls)
+            exchange = ExchangeClient(secrets, context, Metrics(None, 0))
+            try:
+                return await remote.report(exchange)
+            finally:
+                await exchange.close()
+
+        report = run_remote(address, tool.operator.timeout, work)
         if json:
             print_json(_describe_report(report))
         else:
--- a/src/tarragonrudder/commands/remote.py
+++ b/src/tarragonrudder/commands/remote.py
@@ -8,7 +8,6 @@
 
 from tarragonrudder.core.configuration_record import AcceptedRecord
 from tarragonrudder.edges.exchange import ExchangeClient, Status
-from tarragonrudder.edges.metrics import Metrics
 from tarragonrudder.edges.pieces import Files
 from tarragonrudder.edges.platform import (
     PlatformAnswerLost,
@@ -118,7 +117,7 @@
                     raise FolderError(rejected.findings)
                 await trio.sleep(POLL_PERIOD)
 
-    async def report(self, secret: bytes | None) -> FleetReport:
+    async def report(self, exchange: ExchangeClient | None) -> FleetReport:
         """Return the state of the platform's records and of all nodes."""
         folder = await self._store.read_folder_record()
         accepted = await self._store.read_accepted_record()
@@ -126,7 +125,7 @@
         findings: tuple[str, ...] = ()
         if rejected.folder_revision == folder.revision > accepted.folder_revision:
             findings = rejected.findings
-        nodes = await self._report_nodes(secret)
+        nodes = await self._report_nodes(exchange)
         return FleetReport(
             folder.revision,
             accepted.generation,
@@ -136,34 +135,30 @@
             tuple(nodes),
         )
 
-    async def _report_nodes(self, secret: bytes | None) -> list[NodeReport]:
+    async def _report_nodes(self, exchange: ExchangeClient | None) -> list[NodeReport]:
         listing = await self._client.read_prefix(NODES_PREFIX)
         reports: dict[str, NodeReport] = {}
         limiter = trio.CapacityLimiter(NODES_ASKED_AT_ONCE)
-        exchange = ExchangeClient(secret or b"", Metrics(None, 0))
 
         async def ask(name: str, value: NodeValue) -> None:
             status, fault = None, NO_SECRET
-            if secret is not None:
+            if exchange is not None:
                 async with limiter:
                     status, fault = await _ask_node(exchange, value.address)
             reports[name] = NodeReport(
                 name, value.address, value.data_center, status, fault
             )
 
-        try:
-            async with trio.open_nursery() as nursery:
-                for item in listing.items:
-                    name = item.key.removeprefix(NODES_PREFIX)
-                    try:
-                        value = NodeValue.model_validate_json(item.value)
-                    except ValidationError:
-                        fault = "its entry in the platform is damaged"
-                        reports[name] = NodeReport(name, "", "", None, fault)
-                        continue
-                    nursery.start_soon(ask, name, value)
-        finally:
-            await exchange.close()
+        async with trio.open_nursery() as nursery:
+            for item in listing.items:
+                name = item.key.removeprefix(NODES_PREFIX)
+                try:
+                    value = NodeValue.model_validate_json(item.value)
+                except ValidationError:
+                    fault = "its entry in the platform is damaged"
+                    reports[name] = NodeReport(name, "", "", None, fault)
+                    continue
+                nursery.start_soon(ask, name, value)
         return [reports[name] for name in sorted(reports)]
 
 
--- a/src/tarragonrudder/commands/settings.py
+++ b/src/tarragonrudder/commands/settings.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from tarragonrudder.edges.settings import read_model
+from tarragonrudder.edges.settings import TlsSettings, read_model
 from tarragonrudder.errors import SettingsError
 
 SETTINGS_VARIABLE = "TARRAGONRUDDER_SETTINGS"
@@ -29,9 +29,10 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     operator: OperatorSettings = OperatorSettings()
+    tls: TlsSettings = TlsSettings()
 
 
-def read_tool_settings(path: str | None) -> OperatorSettings:
+def read_tool_settings(path: str | None) -> ToolSettings:
     """Return the settings of a file, of the one the environment names, or none.
 
     Raises
@@ -41,11 +42,11 @@
     """
     chosen = path or os.environ.get(SETTINGS_VARIABLE)
     if chosen is None:
-        return OperatorSettings()
-    return read_model(pathlib.Path(str(chosen)), ToolSettings).operator
+        return ToolSettings()
+    return read_model(pathlib.Path(str(chosen)), ToolSettings)
 
 
-def choose_platform(given: str | None, settings: OperatorSettings) -> str:
+def choose_platform(given: str | None, settings: ToolSettings) -> str:
     """Return the platform's address.
 
     Raises
@@ -53,7 +54,7 @@
     SettingsError
         If neither names one.
     """
-    address = given or settings.platform
+    address = given or settings.operator.platform
     if address is None:
         raise SettingsError(
             "the platform's address is missing; give --platform=URL, or name a file "
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -11,6 +11,7 @@
     Event,
     LeaseGranted,
     NodesListed,
+    PeerLost,
     PlatformFailed,
     PlatformValue,
     SwapConflicted,
@@ -33,6 +34,7 @@
 )
 from tarragonrudder.edges.service import ServiceClient, ServiceInput
 from tarragonrudder.edges.store import ConfigurationStore
+from tarragonrudder.edges.timer import Timers
 
 Output: t.TypeAlias = (
     actions.EmitTokens | actions.EndAnswer | actions.FailAnswer | actions.AnswerService
@@ -52,8 +54,8 @@
         platform: PlatformClient,
         logger: logging.Logger,
         metrics: Metrics,
-        peer_secret: bytes,
-        name: str,
+        peers: PeerClient,
+        exchange: ExchangeClient,
     ) -> None:
         self.node = node
         self.stopped = trio.Event()
@@ -62,22 +64,21 @@
         self._logger = logger
         self._metrics = metrics
         self._engines = EngineClient(self.post)
-        self._services = ServiceClient(self.post)
-        self._peers = PeerClient(name, peer_secret, metrics, self.post)
+        self._services = ServiceClient(self.post, clock.now)
+        self._peers = peers
         self.loader = ConfigurationLoader(
-            ConfigurationStore(platform),
-            ExchangeClient(peer_secret, metrics),
-            self.post,
+            ConfigurationStore(platform), exchange, self.post
         )
         self._outputs: dict[str, trio.MemorySendChannel[Output]] = {}
         self._inputs: dict[str, ServiceInput] = {}
         self._attempts: dict[tuple[str, int], trio.CancelScope] = {}
-        self._timers: dict[str, trio.CancelScope] = {}
+        self._timers = Timers(clock, self._fire_timer)
         self._nursery: trio.Nursery | None = None
 
     def start(self, nursery: trio.Nursery) -> None:
         """Begin to carry out actions in a nursery."""
         self._nursery = nursery
+        nursery.start_soon(self._timers.run)
         self._carry_out(self.node.start(self._clock.now()))
 
     async def close(self) -> None:
@@ -126,17 +127,18 @@
             case actions.FailAnswer() | actions.AnswerService():
                 self._output(action.request, action)
             case actions.SetTimer():
-                self._set_timer(action)
+                self._timers.set(action.timer, action.at)
             case actions.ClearTimer():
-                self._clear_timer(action.timer)
+                self._timers.clear(action.timer)
             case actions.StartAttempt():
                 self._spawn(self._follow, action)
             case actions.CancelAttempt():
                 self._cancel_attempt(action)
             case actions.CallService():
                 given = self._inputs.get(action.request)
-                if given is not None:
-                    self._spawn(self._services.call, action, given)
+                self._spawn(self._services.call, action, given)
+            case actions.ReadOutcome():
+                self._spawn(self._services.read_outcome, action)
             case actions.ProbeUpstream():
                 self._spawn(self._probe, action)
             case actions.ReadPlatform():
@@ -152,7 +154,7 @@
             case actions.AskPeers():
                 self._spawn(self.loader.ask_peers)
             case actions.SendPeer():
-                self._spawn(self._peers.send, action.node, action.message)
+                self._spawn(self._send_peer, action)
             case actions.LogDecision():
                 self._logger.info(action.decision, extra=dict(action.fields))
                 self._metrics.count(f"decision.{action.decision}")
@@ -177,26 +179,8 @@
         except trio.BrokenResourceError:
             self._outputs.pop(request, None)
 
-    def _set_timer(self, action: actions.SetTimer) -> None:
-        self._clear_timer(action.timer)
-        scope = trio.CancelScope()
-        self._timers[action.timer] = scope
-        self._spawn(self._wait_timer, action, scope)
-
-    def _clear_timer(self, timer: str) -> None:
-        scope = self._timers.pop(timer, None)
-        if scope is not None:
-            scope.cancel()
-
-    async def _wait_timer(
-        self, action: actions.SetTimer, scope: trio.CancelScope
-    ) -> None:
-        with scope:
-            await trio.sleep(max(0.0, action.at - self._clock.now()))
-            if self._timers.get(action.timer) is not scope:
-                return
-            del self._timers[action.timer]
-            self.post(TimerFired(action.timer))
+    def _fire_timer(self, timer: str) -> None:
+        self.post(TimerFired(timer))
 
     async def _follow(self, action: actions.StartAttempt) -> None:
         key = (action.request, action.attempt)
@@ -211,6 +195,10 @@
             scope.cancel()
         self._spawn(self._engines.cancel, action)
 
+    async def _send_peer(self, action: actions.SendPeer) -> None:
+        if not await self._peers.send(action.node, action.message):
+            self.post(PeerLost(action.node, action.message))
+
     async def _probe(self, action: actions.ProbeUpstream) -> None:
         answered = await self._engines.probe(
             action.upstream, action.address, action.timeout
--- a/src/tarragonrudder/edges/exchange.py
+++ b/src/tarragonrudder/edges/exchange.py
@@ -6,7 +6,7 @@
 
 import base64
 import binascii
-import hmac
+import ssl
 import time
 import typing as t
 import uuid
@@ -17,7 +17,7 @@
 from quart_trio import QuartTrio
 
 from tarragonrudder.edges.metrics import Metrics
-from tarragonrudder.edges.peer import MAX_AGE, SIGNATURE_HEADER, sign_message
+from tarragonrudder.edges.peer import MAX_AGE, SIGNATURE_HEADER, PeerSecrets
 from tarragonrudder.edges.pieces import compress_piece, expand_piece
 from tarragonrudder.errors import PeerRefused, PieceError
 
@@ -77,10 +77,12 @@
 class ExchangeClient:
     """Asks nodes by their address."""
 
-    def __init__(self, secret: bytes, metrics: Metrics) -> None:
-        self._secret = secret
+    def __init__(
+        self, secrets: PeerSecrets, context: ssl.SSLContext | bool, metrics: Metrics
+    ) -> None:
+        self._secrets = secrets
         self._metrics = metrics
-        self._client = httpx.AsyncClient(timeout=EXCHANGE_TIMEOUT)
+        self._client = httpx.AsyncClient(timeout=EXCHANGE_TIMEOUT, verify=context)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -98,7 +100,7 @@
             sent_at=time.time(), nonce=uuid.uuid4().hex, digests=list(digests)
         )
         body = question.model_dump_json().encode()
-        signature = sign_message(self._secret, body)
+        signature = self._secrets.sign(body)
         headers = {"content-type": "application/json", SIGNATURE_HEADER: signature}
         self._metrics.count("peer.bytes_sent", len(body))
         try:
@@ -109,8 +111,8 @@
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             raise PeerRefused(f"{address} does not answer: {error!r}; retry") from error
         self._metrics.count("peer.bytes_received", len(response.content))
-        expected = sign_message(self._secret, signature.encode() + response.content)
-        if not _is_equal(expected, response.headers.get(SIGNATURE_HEADER, "")):
+        given = response.headers.get(SIGNATURE_HEADER, "")
+        if not self._secrets.verify(signature.encode() + response.content, given):
             raise PeerRefused(f"{address} signs wrongly; give nodes the same secret")
         try:
             return Reply.model_validate_json(response.content)
@@ -131,7 +133,7 @@
 
 def add_exchange_route(
     app: QuartTrio,
-    secret: bytes,
+    secrets: PeerSecrets,
     metrics: Metrics,
     describe: DescribeNode,
     find_piece: FindPiece,
@@ -144,7 +146,7 @@
         metrics.count("peer.bytes_received", len(body))
         signature = request.headers.get(SIGNATURE_HEADER, "")
         try:
-            question = _decode_question(secret, body, signature, time.time())
+            question = _decode_question(secrets, body, signature, time.time())
         except PeerRefused as error:
             metrics.count("peer.refused")
             return Response(str(error), status=403)
@@ -155,16 +157,16 @@
                 pieces[digest] = base64.b64encode(compress_piece(text)).decode()
         reply = Reply(status=describe(), pieces=pieces).model_dump_json().encode()
         metrics.count("peer.bytes_sent", len(reply))
-        headers = {SIGNATURE_HEADER: sign_message(secret, signature.encode() + reply)}
+        headers = {SIGNATURE_HEADER: secrets.sign(signature.encode() + reply)}
         return Response(reply, headers=headers, content_type="application/json")
 
 
 def _decode_question(
-    secret: bytes, body: bytes, signature: str, now: float
+    secrets: PeerSecrets, body: bytes, signature: str, now: float
 ) -> Question:
     if len(body) > MAX_QUESTION_BYTES:
         raise PeerRefused("the question is too long; ask for fewer pieces")
-    if not _is_equal(sign_message(secret, body), signature):
+    if not secrets.verify(body, signature):
         raise PeerRefused("the signature is wrong; give all nodes the same secret")
     try:
         question = Question.model_validate_json(body)
@@ -173,7 +175,3 @@
     if not abs(now - question.sent_at) <= MAX_AGE:
         raise PeerRefused("the question is stale; set the VMs' clocks")
     return question
-
-
-def _is_equal(expected: str, given: str) -> bool:
-    return hmac.compare_digest(expected.encode(), given.encode())
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -81,4 +81,4 @@
     path = tmp_path / "tool.ini"
     path.write_text("[operator]\nplatform = http://10.0.1.1:2379\n")
     monkeypatch.setenv("TARRAGONRUDDER_SETTINGS", str(path))
-    assert read_tool_settings(None).platform == "http://10.0.1.1:2379"
+    assert read_tool_settings(None).operator.platform == "http://10.0.1.1:2379"
