--- a/src/tarragonrudder/core/message.py
+++ b/src/tarragonrudder/core/message.py
@@ -104,9 +104,16 @@
 
 @dataclass(frozen=True, slots=True)
 class GenerationAnnounced:
-    """The configuration generation that a node has in force."""
+    """The configuration generation that a node has in force.
+
+    Attributes
+    ----------
+    digest : str
+        Digest of the folder's contents.
+    """
 
     generation: int
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
