Hold rate limits of client accounts over all nodes

Cause: each node took an equal share of an account's rate, so that an account whose requests came to one node of seven was refused at a seventh of its rate.

Now the account's owner (rendezvous hash over the live nodes) keeps its token bucket. Nodes ask it ahead for their measured demand; grants expire. An equal share stays on each node, reported afterwards, so that no request waits for another node. An owner that part of the nodes can't reach grants only the part of the rate of those it can.

--- a/src/tarragonrudder/core/message.py
+++ b/src/tarragonrudder/core/message.py
@@ -30,9 +30,69 @@
     generation: int
 
 
+@dataclass(frozen=True, slots=True)
+class LimitDemand:
+    """What a node used of accounts and wants of them; one item per account.
+
+    Attributes
+    ----------
+    sequence : int
+        Grows with each message of a node; a resend keeps its number.
+    used : tuple of float
+        Requests admitted without a grant, less granted ones given back.
+    wanted : tuple of float
+        Requests asked for.
+    rates : tuple of float
+        Requests a second that came to the node.
+    """
+
+    sequence: int
+    accounts: tuple[str, ...]
+    used: tuple[float, ...]
+    wanted: tuple[float, ...]
+    rates: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitGrant:
+    """What the owner of accounts grants a node; one item per account.
+
+    Attributes
+    ----------
+    granted : tuple of float
+        Requests that the node may admit.
+    shares : tuple of float
+        Requests a second that the node can count on.
+    retries : tuple of float
+        Seconds until the node should ask again.
+    """
+
+    accounts: tuple[str, ...]
+    granted: tuple[float, ...]
+    shares: tuple[float, ...]
+    retries: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitProbe:
+    """Shows whether a node can be reached; one without `reply` asks for one."""
+
+    reply: bool
+
+
 MESSAGES: tuple[type, ...] = (
     UpstreamLeaving,
     FingerprintBlocked,
     GenerationAnnounced,
+    LimitDemand,
+    LimitGrant,
+    LimitProbe,
+)
+Message: t.TypeAlias = (
+    UpstreamLeaving
+    | FingerprintBlocked
+    | GenerationAnnounced
+    | LimitDemand
+    | LimitGrant
+    | LimitProbe
 )
-Message: t.TypeAlias = UpstreamLeaving | FingerprintBlocked | GenerationAnnounced
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -26,6 +26,7 @@
     Event,
     LoadReported,
     NodesListed,
+    PeerLost,
     PeerReached,
     ServiceAnswered,
     ServiceFailed,
@@ -153,11 +154,13 @@
                 self.membership.merge_vms(event)
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
-                self.limits.set_nodes(event.nodes)
+                self.limits.set_nodes(event.nodes, now)
             case ConfigurationRead():
                 return self._adopt(event.configuration)
             case PeerReached():
                 return self._hear(event, now)
+            case PeerLost():
+                self.limits.handle_lost(event.node, event.message, now)
             case TimerFired():
                 return self._fire(event.timer, now)
             case StopRequested():
@@ -241,6 +244,7 @@
             return actions
         self._accounts = {account.name: account for account in configuration.accounts}
         self.selector.configure(configuration)
+        self.limits.configure(self._accounts)
         self.admission.configure(configuration)
         self.answers.configure(configuration.engines)
         self.calls.configure(configuration)
@@ -274,7 +278,7 @@
 
     def _settle(self, now: float) -> list[Action]:
         """End what has ended and start what may start now."""
-        actions: list[Action] = []
+        actions = self.limits.flush(now)
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
             self.admission.release(request, tokens, now)
--- /dev/null
+++ b/src/tarragonrudder/core/rendezvous.py
@@ -0,0 +1,57 @@
+"""Rendezvous hashing: which live node owns a shard.
+
+All nodes that have the same list of nodes name the same owner without a
+message; a change of the list moves only the shards that it must
+(Thaler and Ravishankar, 1998).
+"""
+
+import hashlib
+import typing as t
+
+
+def hash_name(name: str) -> int:
+    """Return a 64-bit hash that is the same in all processes."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
+
+
+class Owners:
+    """Owners of numbered shards, kept up to date as nodes come and go."""
+
+    def __init__(self, shard_count: int) -> None:
+        self._shard_count = shard_count
+        self._nodes: frozenset[str] = frozenset()
+        self._owners: dict[int, tuple[int, str]] = {}
+
+    @property
+    def nodes(self) -> frozenset[str]:
+        """Names of the live nodes."""
+        return self._nodes
+
+    def set_nodes(self, names: t.Iterable[str]) -> None:
+        """Replace the live nodes; unaffected shards keep their owners."""
+        nodes = frozenset(names)
+        added = nodes - self._nodes
+        for shard, (score, owner) in list(self._owners.items()):
+            if owner not in nodes:
+                del self._owners[shard]
+                continue
+            for name in added:
+                score, owner = max((score, owner), (_score(shard, name), name))
+            self._owners[shard] = (score, owner)
+        self._nodes = nodes
+
+    def find_shard(self, name: str) -> int:
+        """Return the shard that a name belongs to."""
+        return hash_name(name) % self._shard_count
+
+    def find_owner(self, shard: int) -> str | None:
+        """Return a shard's owner; None if there is no live node."""
+        known = self._owners.get(shard)
+        if known is None and self._nodes:
+            known = max((_score(shard, name), name) for name in self._nodes)
+            self._owners[shard] = known
+        return known[1] if known is not None else None
+
+
+def _score(shard: int, node: str) -> int:
+    return hash_name(f"{shard}/{node}")
--- /dev/null
+++ b/tests/limits.py
@@ -0,0 +1,189 @@
+"""Seven or more ``Limits`` on a virtual clock, with a network that fails."""
+
+import heapq
+import itertools
+import random
+import typing as t
+from dataclasses import dataclass, field
+
+from tarragonrudder.core.action import SendPeer
+from tarragonrudder.core.event import NodeAddress
+from tarragonrudder.core.fleet import ClientAccount
+from tarragonrudder.core.limit import Limits
+
+LATENCY = 0.001  # seconds, one way
+LOST_AFTER = 2.0  # seconds until a cut message is given up
+LIST_PERIOD = 1.0  # seconds between reads of the list of nodes
+LEASE_TTL = 10.0  # seconds until a dead node leaves the list
+ACCOUNT = "courts"
+
+
+@dataclass
+class Bench:
+    """Nodes, their network and what they admitted."""
+
+    rate: float
+    burst: float
+    seed: int = 0
+    count: int = 7
+    loss: float = 0.0
+    admitted: list[float] = field(default_factory=list)
+    refused: list[tuple[float, float]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+        self.account = ClientAccount(ACCOUNT, (), self.rate, self.burst)
+        self.names = [f"node-{index}" for index in range(self.count)]
+        self.dead: dict[str, float] = {}
+        self.sides: dict[str, int] = {}
+        self.cut_at = float("inf")
+        self.blind: set[str] = set()
+        self.messages = 0
+        self.limits: dict[str, Limits] = {}
+        for name in self.names:
+            self.limits[name] = Limits(name)
+            self.limits[name].configure({ACCOUNT: self.account})
+        self._queue: list[tuple[float, int, t.Callable[[float], None]]] = []
+        self._order = itertools.count()
+
+    @property
+    def owner(self) -> str:
+        """The account's owner while all nodes live."""
+        owners = self.limits[self.names[0]]._owners
+        owners.set_nodes(self.names)
+        return t.cast(str, owners.find_owner(owners.find_shard(ACCOUNT)))
+
+    def at(self, when: float, action: t.Callable[[float], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._queue, (when, next(self._order), action))
+
+    def kill(self, name: str, when: float) -> None:
+        """End a node without a word."""
+        self.at(when, lambda now: self.dead.__setitem__(name, now))
+
+    def cut(self, when: float, minority: t.Sequence[str], blind: bool) -> None:
+        """Cut a minority off; a blind one loses the platform as well."""
+
+        def begin(now: float) -> None:
+            self.cut_at = now
+            self.sides = {name: 1 for name in minority}
+            self.blind = set(minority) if blind else set()
+
+        self.at(when, begin)
+
+    def run(self, arrivals: t.Iterable[tuple[float, str]], end: float) -> None:
+        """Run arrivals of (time, node) until `end`."""
+        for name in self.names:
+            offset = self.random.random()
+            self.at(0.0, lambda now, name=name: self._list(name, now))
+            self.at(offset, lambda now, name=name: self._tick(name, now))
+        for when, name in arrivals:
+            self.at(when, lambda now, name=name: self.arrive(name, now))
+        self.advance(end)
+
+    def advance(self, end: float) -> None:
+        """Run what is due until `end`."""
+        while self._queue and self._queue[0][0] <= end:
+            now, _, action = heapq.heappop(self._queue)
+            action(now)
+
+    def count_admitted(self, start: float, end: float) -> int:
+        """Return how many requests were admitted in a period."""
+        return sum(start <= at < end for at in self.admitted)
+
+    def arrive(self, name: str, now: float) -> None:
+        """Let a request come to a node."""
+        if name in self.dead:
+            return
+        wait = self.limits[name].take(self.account, now)
+        if wait == 0.0:
+            self.admitted.append(now)
+        else:
+            self.refused.append((now, wait))
+        self._send(name, self.limits[name].flush(now), now)
+
+    def _tick(self, name: str, now: float) -> None:
+        if name in self.dead:
+            return
+        self._send(name, self.limits[name].tick(now), now)
+        self.at(now + 1.0, lambda at: self._tick(name, at))
+
+    def _list(self, name: str, now: float) -> None:
+        if name not in self.blind:
+            self.limits[name].set_nodes(tuple(self._live(now)), now)
+        self.at(now + LIST_PERIOD, lambda at: self._list(name, at))
+
+    def _live(self, now: float) -> t.Iterator[NodeAddress]:
+        for name in self.names:
+            if now - self.dead.get(name, now) > LEASE_TTL:
+                continue
+            if name in self.blind and now - self.cut_at > LEASE_TTL:
+                continue
+            yield NodeAddress(name, "", "")
+
+    def _send(self, source: str, actions: t.Sequence[t.Any], now: float) -> None:
+        for action in actions:
+            assert isinstance(action, SendPeer)
+            self.messages += 1
+            target, message = action.node, action.message
+            apart = self.sides.get(source, 0) != self.sides.get(target, 0)
+            lost = apart or self.random.random() < self.loss
+            # Half of the losses lose the answer of a message that arrived.
+            if not apart and (not lost or self.random.random() < 0.5):
+                self.at(
+                    now + LATENCY,
+                    lambda at, m=message, t=target: self._arrive_message(
+                        source, t, m, at
+                    ),
+                )
+            if lost or target in self.dead:
+                self.at(
+                    now + LOST_AFTER,
+                    lambda at, m=message, t=target: self.limits[source].handle_lost(
+                        t, m, at
+                    ),
+                )
+
+    def _arrive_message(
+        self, source: str, target: str, message: t.Any, now: float
+    ) -> None:
+        if target in self.dead:
+            return
+        self._send(target, self.limits[target].handle_peer(source, message, now), now)
+
+
+def make_arrivals(
+    bench: Bench, factor: float, end: float, pattern: str
+) -> list[tuple[float, str]]:
+    """Return Poisson arrivals at `factor` of the rate, spread by a pattern."""
+    arrivals = []
+    now = 0.0
+    while now < end:
+        now += bench.random.expovariate(bench.rate * factor)
+        match pattern:
+            case "even":
+                name = bench.random.choice(bench.names)
+            case "one":
+                name = bench.names[0]
+            case "half":
+                name = bench.names[0]
+                if bench.random.random() < 0.5:
+                    name = bench.random.choice(bench.names[1:])
+            case "moving":
+                name = bench.names[int(now / 5.0) % bench.count]
+        arrivals.append((now, name))
+    return arrivals
+
+
+def count_ideal(
+    arrivals: t.Sequence[tuple[float, str]], rate: float, burst: float, start: float
+) -> int:
+    """Return how many one token bucket would admit from `start` on."""
+    level, since, admitted = burst, 0.0, 0
+    for now, _ in arrivals:
+        level = min(burst, level + (now - since) * rate)
+        since = now
+        if level >= 1.0:
+            level -= 1.0
+            admitted += now >= start
+    return admitted
