Place engines by calendar and demand, under a lease with fencing numbers

Cause: nothing moved engines before a peak. One node at a time plans, by a lease of the platform; the key's revision is the fencing number. It orders only with more lease time left than an order's timeout, waits out the former lease before it orders engines that ignore fencing, drains an engine first, reads back, and never takes a served model's last chain.

55 cells on a virtual clock pass, judged from the engines' journals. One is not proved: a pause between check and send still lets an order reach an engine that ignores fencing; the cell beside it shows that reading back undoes it.

--- a/src/tarragonrudder/core/action.py
+++ b/src/tarragonrudder/core/action.py
@@ -187,6 +187,15 @@
     timeout: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReadHolding:
+    """Ask an engine what it holds."""
+
+    upstream: str
+    address: str
+    timeout: float
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Fire `timer` at a time; a second one of the same name replaces it."""
@@ -245,6 +254,7 @@
     | GrantLease
     | SendPeer
     | SendOrder
+    | ReadHolding
     | SetTimer
     | ClearTimer
     | LogDecision
--- a/src/tarragonrudder/core/event.py
+++ b/src/tarragonrudder/core/event.py
@@ -385,6 +385,26 @@
     outcome: str
 
 
+@dataclass(frozen=True, slots=True)
+class HoldingRead:
+    """An engine said what it holds.
+
+    Attributes
+    ----------
+    model, version : str
+        Empty while it holds nothing.
+    running : int
+        Answers that it runs.
+    """
+
+    upstream: str
+    model: str
+    version: str
+    first: int
+    last: int
+    running: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer that the core asked for is due."""
@@ -421,6 +441,7 @@
     | PeerReached
     | PeerLost
     | OrderAnswered
+    | HoldingRead
     | TimerFired
     | StopRequested
 )
--- a/src/tarragonrudder/core/fleet.py
+++ b/src/tarragonrudder/core/fleet.py
@@ -55,6 +55,9 @@
         Answers that the engine runs at once.
     checks_fencing : bool
         Whether an order with an old fencing number is refused.
+    movable : bool
+        Whether the planner may order it to hold other layers, another model
+        or version; its configured ones are then what it starts with.
     """
 
     name: str
@@ -67,6 +70,7 @@
     layer_tokens_per_second: float = 1000.0
     batch_limit: int = 32
     checks_fencing: bool = False
+    movable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/tarragonrudder/core/lease.py
@@ -0,0 +1,192 @@
+"""The planner's lease: one holder at a time, and a growing fencing number.
+
+The holder's key is created under a lease of the platform, so it vanishes when
+the lease lapses. The key's revision is the fencing number: revisions of the
+platform only grow. The holder counts its time from when it *asked* for the
+lease or its renewal, so that it stops believing before the platform does.
+"""
+
+import json
+import typing as t
+from dataclasses import dataclass
+
+from tarragonrudder.core.action import (
+    Action,
+    GrantLease,
+    LogDecision,
+    ReadPlatform,
+    SwapPlatform,
+)
+from tarragonrudder.core.event import (
+    LeaseGranted,
+    PlatformFailed,
+    PlatformValue,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
+)
+
+KEY = "/tarragonrudder/planner"
+TAG = "planner-lease"
+LEASE_TTL = 15.0  # seconds
+RENEW_PERIOD = 5.0  # seconds
+TRY_PERIOD = 5.0  # seconds between looks at a key that another node holds
+ANSWER_TIMEOUT = 5.0  # seconds until a platform call counts as failed
+
+PlatformEvent: t.TypeAlias = (
+    LeaseGranted | PlatformFailed | PlatformValue | SwapConflicted | SwapLost | Swapped
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Another node holds the lease, or nothing is known."""
+
+
+@dataclass(frozen=True, slots=True)
+class Taking:
+    """The key is free: a lease was asked for, then the key is written."""
+
+    lease: int = 0
+    valid_until: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The lease is held: the node is the planner.
+
+    Attributes
+    ----------
+    number : int
+        Fencing number.
+    taken_at : float
+        When the key was known to be written.
+    """
+
+    lease: int
+    number: int
+    taken_at: float
+    valid_until: float
+
+
+State: t.TypeAlias = Waiting | Taking | Held
+
+
+class PlannerLease:
+    """Takes, renews and gives up the planner's lease."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._state: State = Waiting()
+        self._next_at = 0.0
+
+    def find_number(self, now: float) -> int | None:
+        """Return the fencing number while the lease is held, else None."""
+        if isinstance(self._state, Held) and now < self._state.valid_until:
+            return self._state.number
+        return None
+
+    def measure_time_left(self, now: float) -> float:
+        """Return the seconds for which the lease is surely held."""
+        if isinstance(self._state, Held):
+            return max(0.0, self._state.valid_until - now)
+        return 0.0
+
+    def measure_tenure(self, now: float) -> float:
+        """Return the seconds since this node took the lease."""
+        return now - self._state.taken_at if isinstance(self._state, Held) else 0.0
+
+    def give_up(self, reason: str) -> list[Action]:
+        """Stop being the planner; the lease lapses by itself."""
+        if isinstance(self._state, Waiting):
+            return []
+        self._state = Waiting()
+        return [LogDecision("planner_lease_given_up", {"reason": reason})]
+
+    def tick(self, now: float, candidate: bool) -> list[Action]:
+        """Do the periodic work; only a candidate tries to take the lease."""
+        actions: list[Action] = []
+        match self._state:
+            case Held(valid_until=end) | Taking(valid_until=end) if end <= now:
+                if isinstance(self._state, Held):
+                    actions.extend(self.give_up("the lease has lapsed"))
+                    self._next_at = now
+                elif self._next_at <= now:
+                    self._state = Waiting()
+        if now < self._next_at:
+            return actions
+        match self._state:
+            case Waiting():
+                if candidate:
+                    self._next_at = now + TRY_PERIOD
+                    actions.append(ReadPlatform(TAG, KEY))
+            case Held(lease=lease):
+                self._next_at = now + RENEW_PERIOD
+                actions.append(GrantLease(TAG, LEASE_TTL, lease))
+                actions.append(ReadPlatform(TAG, KEY))
+        return actions
+
+    def handle(self, event: PlatformEvent, now: float) -> list[Action]:
+        """Handle the platform's answer to a call of this lease."""
+        match event:
+            case PlatformValue():
+                return self._merge_value(event, now)
+            case LeaseGranted():
+                return self._merge_lease(event, now)
+            case Swapped():
+                return self._hold(event.revision, now)
+            case SwapLost():
+                # It may have been written: the value tells by its lease.
+                return [ReadPlatform(TAG, KEY)]
+            case SwapConflicted():
+                return self.give_up("another node was faster")
+            case PlatformFailed():
+                if isinstance(self._state, Taking):
+                    self._state = Waiting()
+        return []
+
+    def _merge_value(self, event: PlatformValue, now: float) -> list[Action]:
+        match self._state:
+            case Waiting() if event.value is None:
+                self._state = Taking()
+                self._next_at = now + ANSWER_TIMEOUT
+                return [GrantLease(TAG, LEASE_TTL)]
+            case Taking(lease=lease) if lease:
+                if _read_lease(event.value) == (self._name, lease):
+                    return self._hold(event.revision, now)
+                return self.give_up("the key was not written")
+            case Held(number=number) if event.revision != number:
+                return self.give_up("the key is another's")
+        return []
+
+    def _merge_lease(self, event: LeaseGranted, now: float) -> list[Action]:
+        valid_until = event.asked_at + min(event.ttl, LEASE_TTL)
+        match self._state:
+            case Taking(lease=0):
+                self._state = Taking(event.lease, valid_until)
+                owner = {"node": self._name, "lease": event.lease}
+                value = json.dumps(owner).encode()
+                return [SwapPlatform(TAG, KEY, 0, value, event.lease)]
+            case Held(lease=lease, valid_until=end) as held if lease == event.lease:
+                if now < end:
+                    self._state = Held(
+                        lease, held.number, held.taken_at, max(end, valid_until)
+                    )
+        return []
+
+    def _hold(self, number: int, now: float) -> list[Action]:
+        if not isinstance(self._state, Taking) or now >= self._state.valid_until:
+            return self.give_up("the lease lapsed before it was known")
+        self._state = Held(self._state.lease, number, now, self._state.valid_until)
+        self._next_at = now + RENEW_PERIOD
+        return [LogDecision("planner_lease_taken", {"number": number})]
+
+
+def _read_lease(value: bytes | None) -> tuple[str, int] | None:
+    if value is None:
+        return None
+    try:
+        item = json.loads(value)
+        return str(item["node"]), int(item["lease"])
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tarragonrudder.core.action import (
     Action,
@@ -24,14 +24,22 @@
     ChatRequested,
     ConfigurationRead,
     Event,
+    HoldingRead,
+    LeaseGranted,
     LoadReported,
     NodesListed,
+    OrderAnswered,
     PeerLost,
     PeerReached,
+    PlatformFailed,
+    PlatformValue,
     ServiceAnswered,
     ServiceFailed,
     ServiceRequested,
     StopRequested,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
     TimerFired,
     TokensArrived,
     VmsListed,
@@ -40,6 +48,7 @@
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.message import FingerprintBlocked, UpstreamLeaving
+from tarragonrudder.core.planner import Planner, PlannerEvent
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
 from tarragonrudder.errors import (
@@ -83,6 +92,7 @@
         self.selector = Selector(options.data_center, source)
         self.limits = Limits(options.name)
         self.admission = Admission()
+        self.planner = Planner(options.name, self.membership)
         self.quarantine = Quarantine()
         self.budget = RetryBudget()
         self.answers = Answers(
@@ -155,12 +165,24 @@
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes, now)
+                self.planner.set_nodes(node.name for node in event.nodes)
             case ConfigurationRead():
                 return self._adopt(event.configuration)
             case PeerReached():
                 return self._hear(event, now)
             case PeerLost():
                 self.limits.handle_lost(event.node, event.message, now)
+            case OrderAnswered() | HoldingRead():
+                return self.planner.handle(event, now)
+            case (
+                LeaseGranted()
+                | PlatformFailed()
+                | PlatformValue()
+                | SwapConflicted()
+                | SwapLost()
+                | Swapped()
+            ) if event.tag.startswith("planner-"):
+                return self._handle_planner(event, now)
             case TimerFired():
                 return self._fire(event.timer, now)
             case StopRequested():
@@ -243,13 +265,26 @@
         if not actions:
             return actions
         self._accounts = {account.name: account for account in configuration.accounts}
-        self.selector.configure(configuration)
+        self.planner.configure(configuration)
+        self._place_engines()
         self.limits.configure(self._accounts)
         self.admission.configure(configuration)
-        self.answers.configure(configuration.engines)
         self.calls.configure(configuration)
         return actions
 
+    def _handle_planner(self, event: PlannerEvent, now: float) -> list[Action]:
+        before = self.planner.revision
+        actions = self.planner.handle(event, now)
+        if self.planner.revision != before:
+            self._place_engines()
+        return actions
+
+    def _place_engines(self) -> None:
+        """Use the engines as the placement record has them."""
+        engines = self.planner.place_engines()
+        self.selector.configure(replace(self.configuration, engines=engines))
+        self.answers.configure(engines)
+
     def _hear(self, event: PeerReached, now: float) -> list[Action]:
         match event.message:
             case UpstreamLeaving(upstream=upstream):
@@ -265,6 +300,7 @@
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
+            actions.extend(self.planner.tick(now))
             return actions
         return []
 
--- /dev/null
+++ b/src/tarragonrudder/core/planner.py
@@ -0,0 +1,359 @@
+"""The planner: has engines loaded ahead of the calendar's busy hours.
+
+Every node reads the placement record; the holder of the planner's lease also
+changes it. Nothing that serves a request waits for any of this.
+"""
+
+import json
+import typing as t
+from dataclasses import dataclass, replace
+
+from tarragonrudder.core.action import (
+    Action,
+    LogDecision,
+    ReadHolding,
+    ReadPlatform,
+    SwapPlatform,
+)
+from tarragonrudder.core.event import (
+    HoldingRead,
+    LeaseGranted,
+    OrderAnswered,
+    PlatformFailed,
+    PlatformValue,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
+)
+from tarragonrudder.core.fleet import Configuration, Engine, LayerRange
+from tarragonrudder.core.lease import TAG as LEASE_TAG
+from tarragonrudder.core.lease import PlannerLease
+from tarragonrudder.core.membership import Membership
+from tarragonrudder.core.placement import (
+    Assignment,
+    Bound,
+    Move,
+    Placement,
+    apply_placement,
+    estimate_bound,
+    has_chain,
+    list_moves,
+    list_served,
+    plan_placement,
+)
+from tarragonrudder.core.rendezvous import rank_nodes
+from tarragonrudder.core.schedule import list_periods, sum_demand
+from tarragonrudder.core.transition import (
+    DRAIN_PERIOD,
+    MAX_MOVES,
+    ORDER_TIMEOUT,
+    READ_TIMEOUT,
+    Transitions,
+    read_assignment,
+)
+
+RECORD_KEY = "/tarragonrudder/placement"
+RECORD_TAG = "planner-record"
+RECORD_READ_PERIOD = 5.0  # seconds
+RECORD_WRITE_PERIOD = 2.0  # seconds
+PLAN_PERIOD = 10.0  # seconds
+FIRST_PLAN_DELAY = 3.0  # seconds in which engines tell a new planner what they hold
+PLAN_HORIZON = 24 * 3600.0  # seconds
+LOAD_MARGIN = 120.0  # seconds between the end of the loading and the peak
+SILENT_PERIOD = 30.0  # seconds after which an engine that says nothing is left
+AUDIT_PER_TICK = 8  # engines asked what they hold
+CANDIDATE_COUNT = 3  # nodes that try to take the lease
+
+PlannerEvent: t.TypeAlias = (
+    LeaseGranted
+    | PlatformFailed
+    | PlatformValue
+    | SwapConflicted
+    | SwapLost
+    | Swapped
+    | OrderAnswered
+    | HoldingRead
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """The placement that all nodes use.
+
+    Attributes
+    ----------
+    number : int
+        Fencing number of the planner that wrote it.
+    revision : int
+        The platform's revision, 0 if there is no record.
+    """
+
+    number: int
+    revision: int
+    placed: t.Mapping[str, Assignment]
+
+
+class Planner:
+    """Reads the placement; plans and orders it while it holds the lease."""
+
+    def __init__(
+        self, name: str, membership: Membership, bound: Bound = estimate_bound
+    ) -> None:
+        self._name = name
+        self._membership = membership
+        self._bound = bound
+        self._configuration = Configuration()
+        self._candidates: frozenset[str] = frozenset()
+        self._record = Record(0, 0, {})
+        self._known: dict[str, Assignment | None] = {}
+        self._heard: dict[str, float] = {}
+        self._target: Placement = {}
+        self._number: int | None = None
+        self._planned_at = 0.0
+        self._read_at = 0.0
+        self._written_at = 0.0
+        self._audited = 0
+        self.lease = PlannerLease(name)
+        self.transitions = Transitions(self.lease, membership)
+
+    @property
+    def revision(self) -> int:
+        """Revision of the placement record in use."""
+        return self._record.revision
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a new configuration into use."""
+        self._configuration = configuration
+        self._planned_at = 0.0
+
+    def set_nodes(self, names: t.Iterable[str]) -> None:
+        """Replace the list of live nodes; a few of them may plan."""
+        ranked = rank_nodes("planner", names)
+        self._candidates = frozenset(ranked[:CANDIDATE_COUNT])
+
+    def place_engines(self) -> tuple[Engine, ...]:
+        """Return the configured engines as the record places them."""
+        return tuple(apply_placement(self._configuration.engines, self._record.placed))
+
+    def tick(self, now: float) -> list[Action]:
+        """Do the periodic work, once a second."""
+        movable = self._list_movable()
+        actions: list[Action] = []
+        if movable and now - self._read_at >= RECORD_READ_PERIOD:
+            self._read_at = now
+            actions.append(ReadPlatform(RECORD_TAG, RECORD_KEY))
+        candidate = bool(movable) and self._name in self._candidates
+        actions.extend(self.lease.tick(now, candidate))
+        if not self._check_lease(now):
+            return actions
+        actions.extend(self._audit(movable))
+        self._forget_silent(len(movable), now)
+        if now - self._planned_at >= PLAN_PERIOD:
+            self._planned_at = now
+            self._target = self._plan(now)
+        actions.extend(self._begin_moves(now))
+        for engine in movable:
+            if engine.name in self.transitions:
+                actions.extend(
+                    self.transitions.advance(
+                        engine, now, lambda name: self._may_leave(name, now)
+                    )
+                )
+        actions.extend(self._write_record(now))
+        return actions
+
+    def handle(self, event: PlannerEvent, now: float) -> list[Action]:
+        """Handle an answer of the platform or of an engine."""
+        match event:
+            case OrderAnswered():
+                return self.transitions.merge_answer(event, now)
+            case HoldingRead():
+                if self._check_lease(now):
+                    self._known[event.upstream] = read_assignment(event)
+                    self._heard[event.upstream] = now
+                return self.transitions.merge_holding(event, now)
+            case PlatformFailed() | SwapConflicted() | SwapLost() if (
+                event.tag == RECORD_TAG
+            ):
+                # The next read tells what stands.
+                self._read_at = 0.0
+                return []
+            case PlatformValue(tag=tag) if tag == RECORD_TAG:
+                return self._merge_record(event)
+            case Swapped(tag=tag) if tag == RECORD_TAG:
+                self._read_at = 0.0
+                return []
+        if event.tag == LEASE_TAG:
+            return self.lease.handle(event, now)
+        return []
+
+    def _check_lease(self, now: float) -> bool:
+        """Tell whether this node plans; start afresh when that has changed."""
+        number = self.lease.find_number(now)
+        if number != self._number:
+            self._number = number
+            self._known = {}
+            self._heard = {}
+            self._target = {}
+            self._planned_at = now - PLAN_PERIOD + FIRST_PLAN_DELAY
+            self.transitions.clear()
+        return number is not None
+
+    def _list_movable(self) -> list[Engine]:
+        return [engine for engine in self._configuration.engines if engine.movable]
+
+    def _audit(self, movable: list[Engine]) -> list[Action]:
+        actions: list[Action] = []
+        for _ in range(min(AUDIT_PER_TICK, len(movable))):
+            self._audited += 1
+            engine = movable[self._audited % len(movable)]
+            if engine.name not in self.transitions:
+                actions.append(ReadHolding(engine.name, engine.address, READ_TIMEOUT))
+        return actions
+
+    def _forget_silent(self, count: int, now: float) -> None:
+        """Leave engines alone that have not said lately what they hold."""
+        round_trip = count / AUDIT_PER_TICK
+        for name, at in list(self._heard.items()):
+            if now - at > SILENT_PERIOD + 2 * round_trip:
+                del self._heard[name]
+                del self._known[name]
+                self.transitions.drop(name)
+
+    def _plan(self, now: float) -> Placement:
+        """Return what the engines should hold now."""
+        current = {}
+        fixed = []
+        for engine in self._configuration.engines:
+            if engine.movable and engine.name in self._known:
+                current[engine.name] = self._find_desired(engine)
+                fixed.append(engine)
+                continue
+            placed = apply_placement([engine], self._record.placed)[0]
+            # An engine that has not said what it holds is left alone.
+            fixed.append(replace(placed, movable=False))
+        known = replace(self._configuration, engines=tuple(fixed))
+        demand = sum_demand(known.busy_hours, now)
+        target = plan_placement(known, current, demand, self._bound)
+        for period in list_periods(known.busy_hours, now, now + PLAN_HORIZON):
+            if period.start <= now:
+                continue
+            coming = sum_demand(known.busy_hours, period.start)
+            for name, rate in demand.items():
+                coming[name] = max(rate, coming.get(name, 0.0))
+            ahead = plan_placement(known, target, coming, self._bound)
+            moves = list_moves(known, current, ahead)
+            if period.start - measure_lead(known, moves) <= now:
+                target = ahead
+        return target
+
+    def _find_desired(self, engine: Engine) -> Assignment:
+        held = self._known.get(engine.name) or self._target.get(engine.name)
+        held = held or self._record.placed.get(engine.name)
+        return held or Assignment(engine.model, engine.version, engine.layers)
+
+    def _begin_moves(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        held = {name: item for name, item in self._known.items() if item is not None}
+        for move in list_moves(self._configuration, held, self._target):
+            if len(self.transitions) >= MAX_MOVES:
+                break
+            if move.engine in self.transitions or move.engine not in self._known:
+                continue
+            if not self._may_leave(move.engine, now):
+                continue
+            actions.extend(self.transitions.begin(move, now))
+        return actions
+
+    def _may_leave(self, name: str, now: float) -> bool:
+        """Tell whether each model in use keeps a chain without an engine."""
+        if self._known.get(name) is None:
+            return True
+        lacking = self.transitions.engines | self._membership.unusable(now)
+        usable = []
+        for engine in self._configuration.engines:
+            if engine.name == name or engine.name in lacking:
+                continue
+            if engine.movable and self._known.get(engine.name) is None:
+                continue
+            usable.extend(apply_placement([engine], self._list_held()))
+        served = list_served(self._configuration)
+        for model in self._configuration.models:
+            if f"{model.name}@{model.version}" not in served:
+                continue
+            if has_chain(model, usable):
+                continue
+            held = self._known[name]
+            if held is not None and (held.model, held.version) == (
+                model.name,
+                model.version,
+            ):
+                return False
+        return True
+
+    def _list_held(self) -> dict[str, Assignment]:
+        return {name: item for name, item in self._known.items() if item is not None}
+
+    def _write_record(self, now: float) -> list[Action]:
+        placed = dict(self._record.placed)
+        placed.update(self.transitions.list_confirmed())
+        fresh = self._record.number == self._number
+        if fresh and placed == self._record.placed:
+            for name in self.transitions.list_confirmed():
+                self.transitions.drop(name)
+            return []
+        if now - self._written_at < RECORD_WRITE_PERIOD or self._number is None:
+            return []
+        if self.lease.measure_time_left(now) <= ORDER_TIMEOUT:
+            return []
+        self._written_at = now
+        value = encode_record(self._number, placed)
+        return [SwapPlatform(RECORD_TAG, RECORD_KEY, self._record.revision, value)]
+
+    def _merge_record(self, event: PlatformValue) -> list[Action]:
+        if event.value is None or event.revision <= self._record.revision:
+            return []
+        try:
+            self._record = decode_record(event.value, event.revision)
+        except (ValueError, KeyError, TypeError) as error:
+            return [LogDecision("placement_unreadable", {"reason": str(error)})]
+        fields = {"revision": event.revision, "engines": len(self._record.placed)}
+        return [LogDecision("placement_adopted", fields)]
+
+
+def measure_lead(configuration: Configuration, moves: t.Sequence[Move]) -> float:
+    """Return the seconds before a peak at which its loading has to begin.
+
+    All that loads at once shares the weight store's rate, so that the bytes
+    count in total; drains of ``MAX_MOVES`` engines run side by side.
+    """
+    if not moves:
+        return 0.0
+    size = sum(move.size for move in moves)
+    loading = size / configuration.weight_store.bytes_per_second
+    rounds = -(-len(moves) // MAX_MOVES)
+    return loading + rounds * 2 * DRAIN_PERIOD + LOAD_MARGIN
+
+
+def encode_record(number: int, placed: Placement) -> bytes:
+    """Return a placement record's value."""
+    engines = {}
+    for name in sorted(placed):
+        item = placed[name]
+        engines[name] = [
+            item.model,
+            item.version,
+            item.layers.first,
+            item.layers.last,
+        ]
+    return json.dumps({"number": number, "engines": engines}).encode()
+
+
+def decode_record(value: bytes, revision: int) -> Record:
+    """Return a placement record; ``ValueError`` or the like if it is broken."""
+    item = json.loads(value)
+    placed = {}
+    for name, (model, version, first, last) in item["engines"].items():
+        layers = LayerRange(int(first), int(last))
+        placed[name] = Assignment(str(model), str(version), layers)
+    return Record(int(item["number"]), revision, placed)
--- a/src/tarragonrudder/core/rendezvous.py
+++ b/src/tarragonrudder/core/rendezvous.py
@@ -53,5 +53,10 @@
         return known[1] if known is not None else None
 
 
+def rank_nodes(key: str, names: t.Iterable[str]) -> list[str]:
+    """Return the nodes in the order in which they should try for a key."""
+    return sorted(names, key=lambda name: (-hash_name(f"{key}/{name}"), name))
+
+
 def _score(shard: int, node: str) -> int:
     return hash_name(f"{shard}/{node}")
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -23,6 +23,7 @@
 from tarragonrudder.edges.clock import Clock
 from tarragonrudder.edges.engine import EngineClient
 from tarragonrudder.edges.metrics import Metrics
+from tarragonrudder.edges.order import OrderClient
 from tarragonrudder.edges.peer import PeerClient
 from tarragonrudder.edges.platform import (
     PlatformAnswerLost,
@@ -60,6 +61,7 @@
         self._metrics = metrics
         self._engines = EngineClient(self.post)
         self._services = ServiceClient(self.post)
+        self._orders = OrderClient(self.post)
         self._peers = PeerClient(name, peer_secret, metrics, self.post)
         self._outputs: dict[str, trio.MemorySendChannel[Output]] = {}
         self._inputs: dict[str, ServiceInput] = {}
@@ -76,6 +78,7 @@
         """Close all clients."""
         await self._engines.close()
         await self._services.close()
+        await self._orders.close()
         await self._peers.close()
 
     async def wait_stopped(self) -> None:
@@ -135,6 +138,10 @@
                 self._spawn(self._swap, action)
             case actions.GrantLease():
                 self._spawn(self._grant, action)
+            case actions.SendOrder():
+                self._spawn(self._orders.send, action)
+            case actions.ReadHolding():
+                self._spawn(self._orders.read, action)
             case actions.SendPeer():
                 self._spawn(self._peers.send, action.node, action.message)
             case actions.LogDecision():
--- a/src/tarragonrudder/edges/folder.py
+++ b/src/tarragonrudder/edges/folder.py
@@ -84,6 +84,7 @@
                 item.layer_tokens_per_second,
                 item.batch_limit,
                 item.checks_fencing,
+                item.movable,
             )
         )
     services = []
--- /dev/null
+++ b/src/tarragonrudder/edges/order.py
@@ -0,0 +1,66 @@
+"""Client that orders engines to hold layers and reads back what they hold."""
+
+import typing as t
+
+import httpx
+import trio
+
+from tarragonrudder.core.action import ReadHolding, SendOrder
+from tarragonrudder.core.event import Event, HoldingRead, OrderAnswered
+
+_OUTCOMES = {200: "done", 409: "fenced"}
+
+
+class OrderClient:
+    """Sends the planner's orders; each is given up after its timeout."""
+
+    def __init__(self, post: t.Callable[[Event], None]) -> None:
+        self._post = post
+        self._client = httpx.AsyncClient()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def send(self, action: SendOrder) -> None:
+        """Order a desired state; ``lost`` if the engine may have taken it."""
+        body = {
+            "fencing": action.fencing,
+            "model": action.model,
+            "version": action.version,
+            "first": action.first,
+            "last": action.last,
+        }
+        outcome = "lost"
+        # The timeout spans the whole call: the lease outlives it.
+        with trio.move_on_after(action.timeout):
+            try:
+                response = await self._client.post(
+                    action.address + "/v1/orders", json=body, timeout=action.timeout
+                )
+                outcome = _OUTCOMES.get(response.status_code, "refused")
+            except (httpx.ConnectError, httpx.ConnectTimeout):
+                outcome = "refused"
+            except httpx.HTTPError:
+                outcome = "lost"
+        self._post(OrderAnswered(action.tag, action.upstream, outcome))
+
+    async def read(self, action: ReadHolding) -> None:
+        """Post what an engine holds; nothing if it does not say."""
+        try:
+            response = await self._client.get(
+                action.address + "/v1/state", timeout=action.timeout
+            )
+            response.raise_for_status()
+            item = response.json()
+            held = HoldingRead(
+                action.upstream,
+                str(item["model"]),
+                str(item["version"]),
+                int(item["first"]),
+                int(item["last"]),
+                int(item["running"]),
+            )
+        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            return
+        self._post(held)
--- a/src/tarragonrudder/edges/schema.py
+++ b/src/tarragonrudder/edges/schema.py
@@ -30,6 +30,7 @@
     layer_tokens_per_second: float = Field(1000.0, gt=0)
     batch_limit: int = Field(32, gt=0)
     checks_fencing: bool = False
+    movable: bool = False
 
 
 class ServiceSection(Section):
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -5,9 +5,10 @@
 
 import typing as t
 
+from tests.matrix import placement
 from tests.matrix.table import Cell
 
-AREAS: tuple[t.Callable[[], list[Cell]], ...] = ()
+AREAS: tuple[t.Callable[[], list[Cell]], ...] = (placement.list_cells,)
 
 
 def list_cells() -> list[Cell]:
--- /dev/null
+++ b/tests/matrix/placement.py
@@ -0,0 +1,284 @@
+"""Cells of placement: take the lease, order, read back, lose the lease."""
+
+import functools
+import typing as t
+
+from tarragonrudder.core.lease import LEASE_TTL
+from tests.matrix.table import Cell, Impossible, NotProved, Proved, Verdict
+from tests.planning import PEAK, START, OrderViolation, World
+
+AREA = "placement"
+ORDER_AT = START + 767.0  # when the first order leaves if there is no fault
+END = START + 1200.0
+WANTED_BOUND = 180.0  # tokens a second, the demand of the busy hours
+Install: t.TypeAlias = t.Callable[[World], None]
+
+
+def run_cell(install: Install, checks_fencing: bool, ready_at: float = END) -> World:
+    """Run a fault and judge it from the engines' journals."""
+    world = World(checks_fencing)
+    install(world)
+    world.run(ready_at)
+    if world.measure_bound("draft") < WANTED_BOUND:
+        raise OrderViolation("the fleet is not ready")
+    world.run(END)
+    world.judge()
+    if world.measure_bound("draft") < WANTED_BOUND:
+        raise OrderViolation("the fleet did not stay ready")
+    return world
+
+
+def pause_holder(world: World, when: float, wake_after: float | None) -> None:
+    """Freeze the holder of the lease, and wake it or not."""
+
+    def pause(now: float) -> None:
+        name = world.find_holder(now) or "node-0"
+        world.pause(name)
+        if wake_after is not None:
+            world.at(now + wake_after, lambda at: world.wake(name, at))
+
+    world.at(when, pause)
+
+
+def freeze_between_check_and_send(world: World) -> None:
+    """Freeze the holder with a checked order in hand, past its lease."""
+
+    def arm(now: float) -> None:
+        name = world.find_holder(now) or "node-0"
+        world.frozen_orders.add(name)
+        world.at(now + 120.0, lambda at: world.wake(name, at))
+
+    world.at(START + 700.0, arm)
+
+
+def lapse_leases(world: World, when: float) -> None:
+    """End the lease at the platform while its holder believes in it."""
+
+    def lapse(now: float) -> None:
+        for lease in list(world.platform.leases):
+            world.platform.lapse(lease)
+
+    world.at(when, lapse)
+
+
+def lapse_with_late_order(world: World) -> None:
+    """Let a former planner's order arrive seconds after the lease went over."""
+
+    def arm(now: float) -> None:
+        world.order_delay = 16.5
+
+    world.at(START + 700.0, arm)
+    lapse_leases(world, ORDER_AT + 0.1)
+
+
+def set_platform(world: World, **values: t.Any) -> None:
+    """Set fields of the platform."""
+    for name, value in values.items():
+        setattr(world.platform, name, value)
+
+
+def set_world(world: World, **values: t.Any) -> None:
+    """Set fields of the world."""
+    for name, value in values.items():
+        setattr(world, name, value)
+
+
+def kill_engines(world: World, when: float, names: t.Sequence[str]) -> None:
+    """End engines."""
+    for name in names:
+        world.at(when, lambda now, n=name: setattr(world.engines[n], "dead", True))
+
+
+def empty_engine(world: World, when: float, name: str) -> None:
+    """Restart an engine; it comes back with nothing."""
+    world.at(when, lambda now: setattr(world.engines[name], "held", None))
+
+
+def lose_swap_at(world: World, when: float) -> None:
+    """Lose the answer of the next write that lands."""
+    world.at(when, lambda now: setattr(world.platform, "lose_swaps", 1))
+
+
+def cut_platform(world: World, start: float, end: float) -> None:
+    """Take the platform down for a while."""
+    world.platform.down = (start, end)
+
+
+def no_fault(world: World) -> None:
+    """Do nothing."""
+
+
+def check_no_order_without_lease(checks_fencing: bool) -> None:
+    """The platform is down for good: orders end with the lease."""
+    world = World(checks_fencing)
+    down_from = ORDER_AT - 20.0
+    cut_platform(world, down_from, END)
+    world.run(END)
+    world.judge()
+    if any(entry.at > down_from + LEASE_TTL for entry in world.journal):
+        raise OrderViolation("an order after the lease's end")
+
+
+def check_last_chain(checks_fencing: bool) -> None:
+    """Only one chain of a model is left: its engines are not ordered."""
+    world = World(checks_fencing)
+    names = [f"engine-{index}" for index in range(2, 8)]
+    kill_engines(world, START + 100.0, names)
+    world.run(END)
+    world.judge()
+    if world.measure_bound("jury") <= 0.0:
+        raise OrderViolation("a model in use has no chain")
+
+
+def check_late_order_is_repaired(checks_fencing: bool) -> None:
+    """A pause between check and send: the late order is seen and undone."""
+    world = World(checks_fencing)
+    freeze_between_check_and_send(world)
+    world.run(END)
+    for model, wanted in (("draft", WANTED_BOUND), ("jury", 200.0)):
+        if world.measure_bound(model) < wanted:
+            raise OrderViolation(f"{model} was not repaired")
+
+
+FAULTS: tuple[tuple[str, str, Install], ...] = (
+    ("take the lease", "no fault", no_fault),
+    (
+        "take the lease",
+        "write lands and its answer is lost",
+        functools.partial(set_platform, lose_swaps=1),
+    ),
+    (
+        "take the lease",
+        "platform down",
+        functools.partial(cut_platform, start=START, end=START + 120.0),
+    ),
+    (
+        "take the lease",
+        "platform slow",
+        functools.partial(set_platform, latency=0.8),
+    ),
+    (
+        "take the lease",
+        "node killed",
+        functools.partial(pause_holder, when=START + 30.0, wake_after=None),
+    ),
+    ("order", "order lost", functools.partial(set_world, lose_orders=2)),
+    ("order", "answer late", functools.partial(set_world, late_engine=3.0)),
+    ("order", "order arrives late", functools.partial(set_world, order_delay=30.0)),
+    (
+        "order",
+        "engine killed",
+        functools.partial(kill_engines, when=ORDER_AT - 1.0, names=["engine-0"]),
+    ),
+    (
+        "order",
+        "node killed",
+        functools.partial(pause_holder, when=ORDER_AT - 1.0, wake_after=None),
+    ),
+    (
+        "order",
+        "node frozen past its lease and woken",
+        functools.partial(pause_holder, when=ORDER_AT - 1.0, wake_after=60.0),
+    ),
+    (
+        "order",
+        "node frozen shortly and woken",
+        functools.partial(pause_holder, when=ORDER_AT - 1.0, wake_after=8.0),
+    ),
+    (
+        "order",
+        "platform down",
+        functools.partial(cut_platform, start=ORDER_AT - 5.0, end=ORDER_AT + 60.0),
+    ),
+    (
+        "order",
+        "lease lapsed, two nodes believe",
+        functools.partial(lapse_leases, when=ORDER_AT - 0.5),
+    ),
+    ("order", "lease lapsed and order late", lapse_with_late_order),
+    (
+        "read back",
+        "engine restarted empty",
+        functools.partial(empty_engine, when=START + 800.0, name="engine-0"),
+    ),
+    (
+        "read back",
+        "engine restarted empty while it loads",
+        functools.partial(empty_engine, when=ORDER_AT + 3.0, name="engine-1"),
+    ),
+    (
+        "read back",
+        "write lands and its answer is lost",
+        functools.partial(lose_swap_at, when=ORDER_AT + 4.0),
+    ),
+    (
+        "read back",
+        "node killed",
+        functools.partial(pause_holder, when=ORDER_AT + 3.0, wake_after=None),
+    ),
+    (
+        "read back",
+        "platform down",
+        functools.partial(cut_platform, start=ORDER_AT + 1.0, end=ORDER_AT + 90.0),
+    ),
+    (
+        "lose the lease",
+        "lease lapsed",
+        functools.partial(lapse_leases, when=START + 300.0),
+    ),
+    (
+        "lose the lease",
+        "node frozen past its lease and woken",
+        functools.partial(pause_holder, when=START + 300.0, wake_after=60.0),
+    ),
+    (
+        "lose the lease",
+        "platform down",
+        functools.partial(cut_platform, start=START + 300.0, end=START + 400.0),
+    ),
+    (
+        "lose the lease",
+        "write lands and its answer is lost",
+        functools.partial(lose_swap_at, when=START + 300.0),
+    ),
+)
+
+
+def list_cells() -> list[Cell]:
+    """Return the cells of placement."""
+    cells = []
+    for kind, checks in (("engines check", True), ("engines ignore", False)):
+        for step, fault, install in FAULTS:
+            ready_at = PEAK if fault == "no fault" else END
+            check = functools.partial(run_cell, install, checks, ready_at)
+            cells.append(_make_cell(step, f"{fault} ({kind})", check))
+        more: tuple[tuple[str, str, t.Callable[[bool], None]], ...] = (
+            ("lose the lease", "platform stays down", check_no_order_without_lease),
+            ("order", "last chain of a model", check_last_chain),
+            (
+                "order",
+                "frozen between check and send, repaired",
+                check_late_order_is_repaired,
+            ),
+        )
+        for step, fault, judged in more:
+            check = functools.partial(judged, checks)
+            cells.append(_make_cell(step, f"{fault} ({kind})", check))
+    checking = functools.partial(run_cell, freeze_between_check_and_send, True)
+    fault = "frozen between check and send, refused"
+    cells.append(_make_cell("order", f"{fault} (engines check)", checking))
+    reason = "an engine that ignores fencing can't tell; see docs/design/placement.md"
+    cells.append(Cell(AREA, "order", f"{fault} (engines ignore)", NotProved(reason)))
+    reason = "orders carry no answers, attempts or callers"
+    verdict: Verdict = Impossible(reason)
+    cells.append(Cell(AREA, "order", "answer of another attempt", verdict))
+    cells.append(Cell(AREA, "order", "caller gone", verdict))
+    return cells
+
+
+def _make_cell(step: str, fault: str, check: t.Callable[..., t.Any]) -> Cell:
+    def run() -> None:
+        check()
+
+    run.__name__ = f"check_{step.replace(' ', '_')}"
+    return Cell(AREA, step, fault, Proved(run))
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -7,7 +7,7 @@
 import argparse
 import os
 import typing as t
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 import httpx
 import orjson
@@ -35,6 +35,18 @@
     layer_tokens_per_second: float
     checks_fencing: bool
     journal: str | None
+    model: str = "jury"
+    load_seconds: float = 0.0  # for one layer
+
+
+@dataclass(slots=True)
+class Holding:
+    """What an engine holds; `model` is empty while it loads."""
+
+    model: str
+    version: str
+    first: int
+    last: int
 
 
 @dataclass(slots=True)
@@ -66,6 +78,8 @@
     faults: Faults = field(default_factory=Faults)
     running: int = 0
     fencing: int = 0
+    held: Holding | None = None
+    loads: int = 0
     cancelled: set[tuple[str, int]] = field(default_factory=set)
 
 
@@ -78,13 +92,38 @@
         self.upstream = upstream
 
 
+def find_holding(state: State) -> Holding:
+    """Return what an engine holds; at its start what it was told."""
+    if state.held is None:
+        options = state.options
+        state.held = Holding(
+            options.model, options.version, options.first, options.last
+        )
+    return state.held
+
+
+async def load_layers(state: State, order: dict[str, t.Any]) -> None:
+    """Hold nothing while the weights load, then what an order says."""
+    target = Holding(order["model"], order["version"], order["first"], order["last"])
+    if find_holding(state) == target:
+        return
+    state.loads += 1
+    load = state.loads
+    state.held = Holding("", "", 0, -1)
+    layers = target.last - target.first + 1
+    await trio.sleep(layers * state.options.load_seconds)
+    if state.loads == load:
+        state.held = target
+
+
 async def run_stage(
     state: State, work: dict[str, t.Any], position: int, index: int, value: bytes
 ) -> str:
     """Run this engine's layers, then pass the token on; return its text."""
     hop = work["chain"][index]
     options = state.options
-    if not options.first <= hop["first"] <= hop["last"] <= options.last:
+    held = find_holding(state)
+    if not held.first <= hop["first"] <= hop["last"] <= held.last or not held.model:
         raise HopFailed("refused", options.name)
     while state.faults.frozen:
         await trio.sleep(0.05)
@@ -214,8 +253,15 @@
             return respond({"kind": "fenced", "fencing": state.fencing}, 409)
         state.fencing = max(state.fencing, order["fencing"])
         state.journal.write("order", upstream=state.options.name, order=order)
+        app.add_background_task(load_layers, state, order)
         return respond({"kind": "done"})
 
+    @app.get("/v1/state")
+    async def report_state() -> Response:
+        held = find_holding(state)
+        body = asdict(held) | {"running": state.running, "fencing": state.fencing}
+        return respond(body)
+
     @app.post("/faults")
     async def set_faults() -> Response:
         state.faults = Faults(**await read_body())
@@ -262,6 +308,8 @@
     parser.add_argument("--speed", type=float, default=1000.0)
     parser.add_argument("--fencing", action="store_true")
     parser.add_argument("--journal")
+    parser.add_argument("--model", default="jury")
+    parser.add_argument("--load-seconds", type=float, default=0.0)
     given = parser.parse_args()
     first, _, last = given.layers.partition("-")
     options = EngineOptions(
@@ -273,6 +321,8 @@
         given.speed,
         given.fencing,
         given.journal,
+        given.model,
+        given.load_seconds,
     )
     trio.run(run, options)
 
