--- /dev/null
+++ b/src/tarragonrudder/core/keyed.py
@@ -0,0 +1,398 @@
+"""Non-idempotent calls with an idempotency key: each runs at most once.
+
+A call leaves only after its claim stands in the platform, once, and within a
+short time. Whoever sends the same key again gets the recorded outcome, or
+learns that it is unknown.
+"""
+
+import urllib.parse
+
+from tarragonrudder.core.action import (
+    Action,
+    CallService,
+    ClearTimer,
+    LogDecision,
+    ReadOutcome,
+)
+from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.event import (
+    OutcomeRead,
+    ServiceAnswered,
+    ServiceFailed,
+    ServiceRequested,
+)
+from tarragonrudder.core.fleet import ServiceRoute
+from tarragonrudder.core.keyedcall import KeyedCall, Phase
+from tarragonrudder.core.membership import Membership
+from tarragonrudder.core.pool import ServicePool, is_not_run, note_failure
+from tarragonrudder.core.record import (
+    Claim,
+    Command,
+    Doubt,
+    Finish,
+    Finished,
+    Pending,
+    Record,
+    Unknown,
+    Withdraw,
+    Withdrawn,
+    identify_record,
+    shorten_digest,
+)
+from tarragonrudder.core.recorder import Recorder
+from tarragonrudder.core.reply import (
+    RETRY_AFTER,
+    answer_finished,
+    answer_unrecorded,
+    describe_late,
+    describe_progress,
+    describe_unknown,
+    describe_unwritten,
+    fail_call,
+    keep_outcome,
+)
+from tarragonrudder.errors import (
+    KeyConflict,
+    Problem,
+    RunState,
+    UpstreamFailed,
+)
+
+MAX_ATTEMPTS = 3  # upstreams tried, where those before ran nothing
+WAIT_LIMIT = 2.0  # seconds for which a resend waits for the first call
+WAIT_PERIOD = 0.4  # seconds between two looks at the first call's record
+OUTCOME_WAIT = 2.0  # seconds for which an answer waits to be recorded
+RECORD_LIMIT = 20.0  # seconds for which recording is tried
+RECORD_RETRY = 0.5  # seconds
+ASK_TIMEOUT = 1.0  # seconds
+ASK_PERIOD = 0.5  # seconds
+ASK_ROUNDS = 3
+NO_UPSTREAM_RETRY_AFTER = 5.0  # seconds
+
+
+class KeyedCalls:
+    """All keyed calls in flight on this node."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        pool: ServicePool,
+        budget: RetryBudget,
+        recorder: Recorder,
+    ) -> None:
+        self._membership = membership
+        self._pool = pool
+        self._budget = budget
+        self._recorder = recorder
+        self._calls: dict[str, KeyedCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def begin(
+        self, event: ServiceRequested, route: ServiceRoute, now: float
+    ) -> list[Action]:
+        """Start a call: first claim its key."""
+        key = event.key or ""
+        identity = identify_record(event.account, event.service, key)
+        digest = shorten_digest(event.body_digest)
+        call = KeyedCall(event, route, identity, digest, now)
+        self._calls[event.request] = call
+        return self._claim(call, now)
+
+    def cancel(self, request: str) -> None:
+        """Note that the caller is gone: what is not sent is given up."""
+        call = self._calls.get(request)
+        if call is not None:
+            call.gone = True
+
+    def settle(self, now: float) -> list[Action]:
+        """Go on with the calls whose commands were decided."""
+        actions: list[Action] = []
+        while decided := self._recorder.take_decided():
+            for item in decided:
+                call = self._calls.get(item.ticket.partition("/")[0])
+                if call is None or call.ticket != item.ticket:
+                    continue
+                actions.extend(self._merge_record(call, item.record, now))
+        return actions
+
+    def merge_answer(self, event: ServiceAnswered, now: float) -> list[Action]:
+        """Record a service's answer, then pass it on."""
+        call = self._find_sent(event.request, event.attempt)
+        if call is None:
+            return []
+        call.answer = event
+        outcome = keep_outcome(event.status, event.content_type, event.body)
+        return self._record(
+            call, Finish(call.identity, call.digest, call.request, outcome), now
+        )
+
+    def merge_failure(self, event: ServiceFailed, now: float) -> list[Action]:
+        """Send to another upstream if nothing ran, else look for the outcome."""
+        call = self._find_sent(event.request, event.attempt)
+        if call is None:
+            return []
+        actions = note_failure(self._membership, call.upstream, event.failure, now)
+        if not is_not_run(event.failure):
+            actions.extend(self._ask(call, call.request, True, now))
+            return actions
+        may_send = not call.gone and now < call.send_by
+        may_send = may_send and call.attempt < MAX_ATTEMPTS
+        if may_send and self._budget.withdraw():
+            actions.extend(self._send(call, now))
+            return actions
+        problem = UpstreamFailed(
+            "the service ran nothing; send it again with the same key",
+            RunState.NOT_RUN,
+            RETRY_AFTER,
+        )
+        actions.extend(self._withdraw(call, problem, now))
+        return actions
+
+    def merge_outcome(self, event: OutcomeRead, now: float) -> list[Action]:
+        """Record an outcome that an upstream told, or ask the next one."""
+        call = self._calls.get(event.request)
+        if call is None or call.phase is not Phase.ASKING:
+            return []
+        if event.upstream != call.upstream:
+            return []
+        if event.status is None:
+            return self._ask_next(call, now)
+        outcome = keep_outcome(event.status, event.content_type, event.body)
+        return self._record(
+            call, Finish(call.identity, call.digest, call.writer, outcome), now
+        )
+
+    def fire(self, timer: str, now: float) -> list[Action]:
+        """Handle a timer of a call."""
+        kind, _, request = timer.partition(":")
+        call = self._calls.get(request)
+        if call is None:
+            return []
+        call.timers.discard(timer)
+        match kind, call.phase:
+            case "call-claim", Phase.CLAIMING:
+                return self._refuse(call, now)
+            case "call-wait", Phase.WAITING:
+                return self._claim(call, now)
+            case "call-ask", Phase.ASKING:
+                return self._ask_round(call, now)
+            case "call-retry", Phase.RECORDING:
+                return self._submit(call, call.command, call.record_by, now)
+            case "call-answer", Phase.RECORDING:
+                return answer_unrecorded(call)
+        return []
+
+    def _find_sent(self, request: str, attempt: int) -> KeyedCall | None:
+        call = self._calls.get(request)
+        if call is None or call.phase is not Phase.SENT or call.attempt != attempt:
+            return None
+        return call
+
+    def _claim(self, call: KeyedCall, now: float) -> list[Action]:
+        call.phase = Phase.CLAIMING
+        call.claimed_at = now
+        actions = [call.set_timer("call-claim", call.send_by)]
+        claim = Claim(call.identity, call.digest, call.request)
+        actions.extend(self._submit(call, claim, call.send_by, now))
+        return actions
+
+    def _submit(
+        self, call: KeyedCall, command: Command | None, deadline: float, now: float
+    ) -> list[Action]:
+        if command is None:
+            return []
+        call.step += 1
+        actions = self._recorder.submit(call.ticket, command, deadline, now)
+        actions.extend(self.settle(now))
+        return actions
+
+    def _merge_record(
+        self, call: KeyedCall, record: Record | None, now: float
+    ) -> list[Action]:
+        if call.phase is Phase.CLAIMING:
+            if record is None:
+                return self._refuse(call, now)
+            return self._merge_claim(call, record, now)
+        if call.phase is Phase.RECORDING:
+            return self._merge_recorded(call, record, now)
+        return []
+
+    def _merge_claim(self, call: KeyedCall, record: Record, now: float) -> list[Action]:
+        match record.state:
+            case Pending(writer=writer) if writer == call.request:
+                if call.gone or now >= call.send_by:
+                    return self._withdraw(call, describe_late(), now)
+                fields = {"request": call.request, "record": call.identity}
+                actions: list[Action] = [LogDecision("intent_committed", fields)]
+                actions.extend(self._send(call, now))
+                return actions
+            case Withdrawn():
+                return self._end(call, describe_late())
+        if record.digest != call.digest:
+            problem = KeyConflict(
+                "this key was used for another request; use a new key",
+                RunState.NOT_RUN,
+            )
+            return self._end(call, problem)
+        match record.state:
+            case Pending(writer=writer):
+                return self._wait(call, record, writer, now)
+        return self._answer_recorded(call, record, now)
+
+    def _wait(
+        self, call: KeyedCall, record: Record, writer: str, now: float
+    ) -> list[Action]:
+        lost = now - record.at > call.pending_limit
+        if not lost and now - call.began < WAIT_LIMIT:
+            call.phase = Phase.WAITING
+            return [call.set_timer("call-wait", now + WAIT_PERIOD)]
+        return self._ask(call, writer, lost, now)
+
+    def _send(self, call: KeyedCall, now: float) -> list[Action]:
+        service = self._pool.choose(call.event.service, call.tried, now)
+        if service is None:
+            problem = UpstreamFailed(
+                "no upstream of this service is live; send it again with this key",
+                RunState.NOT_RUN,
+                NO_UPSTREAM_RETRY_AFTER,
+            )
+            return self._withdraw(call, problem, now)
+        call.phase = Phase.SENT
+        call.attempt += 1
+        call.upstream = service.name
+        call.tried.add(service.name)
+        fields = {
+            "request": call.request,
+            "record": call.identity,
+            "attempt": call.attempt,
+            "upstream": service.name,
+        }
+        return [
+            LogDecision("call_sent", fields),
+            CallService(
+                call.request,
+                call.attempt,
+                service.name,
+                service.address,
+                call.timeout,
+                call.event.key,
+                call.send_by,
+                call.identity,
+            ),
+        ]
+
+    def _ask(
+        self, call: KeyedCall, writer: str, final: bool, now: float
+    ) -> list[Action]:
+        """Ask the upstreams; `final` says that no answer settles the record."""
+        call.phase = Phase.ASKING
+        call.writer = writer
+        call.final = final
+        call.round = 0
+        return self._ask_round(call, now)
+
+    def _ask_round(self, call: KeyedCall, now: float) -> list[Action]:
+        call.round += 1
+        call.askable = self._pool.list_askable(call.event.service)
+        return self._ask_next(call, now)
+
+    def _ask_next(self, call: KeyedCall, now: float) -> list[Action]:
+        if call.askable:
+            service = call.askable.pop(0)
+            call.upstream = service.name
+            key = urllib.parse.quote(call.event.key or "", safe="")
+            path = (service.outcome_path or "").replace("{key}", key)
+            return [
+                ReadOutcome(
+                    call.request,
+                    service.name,
+                    service.address,
+                    path,
+                    call.identity,
+                    ASK_TIMEOUT,
+                )
+            ]
+        if not call.final:
+            return self._end(call, describe_progress())
+        if self._pool.list_askable(call.event.service) and call.round < ASK_ROUNDS:
+            return [call.set_timer("call-ask", now + ASK_PERIOD)]
+        return self._record(call, Doubt(call.identity, call.digest, call.writer), now)
+
+    def _record(self, call: KeyedCall, command: Command, now: float) -> list[Action]:
+        call.phase = Phase.RECORDING
+        call.command = command
+        call.record_by = now + RECORD_LIMIT
+        actions: list[Action] = []
+        if not call.answered:
+            timer = call.set_timer("call-answer", now + OUTCOME_WAIT)
+            actions.append(timer)
+        actions.extend(self._submit(call, command, call.record_by, now))
+        return actions
+
+    def _withdraw(self, call: KeyedCall, problem: Problem, now: float) -> list[Action]:
+        fields = {"request": call.request, "record": call.identity}
+        actions: list[Action] = [LogDecision("call_withdrawn", fields)]
+        call.problem = problem
+        command = Withdraw(call.identity, call.digest, call.request)
+        actions.extend(self._record(call, command, now))
+        return actions
+
+    def _refuse(self, call: KeyedCall, now: float) -> list[Action]:
+        """Refuse at once, as the platform does not answer.
+
+        The claim may stand all the same, or be written later: it is withdrawn
+        as soon as the platform answers.
+        """
+        problem = describe_unwritten()
+        actions = fail_call(call, problem)
+        actions.extend(self._withdraw(call, problem, now))
+        return actions
+
+    def _merge_recorded(
+        self, call: KeyedCall, record: Record | None, now: float
+    ) -> list[Action]:
+        if record is None and now < call.record_by:
+            return [call.set_timer("call-retry", now + RECORD_RETRY)]
+        fields = {"request": call.request, "record": call.identity}
+        if record is None:
+            actions: list[Action] = [LogDecision("outcome_not_recorded", fields)]
+            actions.extend(answer_unrecorded(call))
+            actions.extend(self._forget(call))
+            return actions
+        state = type(record.state).__name__
+        actions = [LogDecision("outcome_recorded", {**fields, "state": state})]
+        if call.answered:
+            actions.extend(self._forget(call))
+            return actions
+        actions.extend(self._answer_recorded(call, record, now))
+        return actions
+
+    def _answer_recorded(
+        self, call: KeyedCall, record: Record, now: float
+    ) -> list[Action]:
+        """Answer the caller with what stands in the platform."""
+        match record.state:
+            case Finished() as outcome:
+                actions = answer_finished(call, outcome)
+                actions.extend(self._forget(call))
+                return actions
+            case Unknown():
+                return self._end(call, describe_unknown())
+            case _ if call.problem is not None:
+                return self._end(call, call.problem)
+            case Withdrawn() if call.attempt == 0:
+                return self._claim(call, now)
+            case Withdrawn():
+                return self._end(call, describe_unknown())
+        return self._end(call, describe_progress())
+
+    def _end(self, call: KeyedCall, problem: Problem) -> list[Action]:
+        actions = fail_call(call, problem)
+        actions.extend(self._forget(call))
+        return actions
+
+    def _forget(self, call: KeyedCall) -> list[Action]:
+        self._calls.pop(call.request, None)
+        return [ClearTimer(timer) for timer in sorted(call.timers)]
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from tarragonrudder.core.action import (
     Action,
@@ -29,6 +29,7 @@
     LoadReported,
     NodesListed,
     OrderAnswered,
+    OutcomeRead,
     PeerLost,
     PeerReached,
     PlatformFailed,
@@ -47,10 +48,16 @@
 from tarragonrudder.core.fleet import ClientAccount, Configuration
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
-from tarragonrudder.core.message import FingerprintBlocked, UpstreamLeaving
+from tarragonrudder.core.message import (
+    FingerprintBlocked,
+    RecordDecided,
+    RecordSubmitted,
+    UpstreamLeaving,
+)
 from tarragonrudder.core.planner import Planner, PlannerEvent
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
+from tarragonrudder.core.shard import RecordOptions
 from tarragonrudder.errors import (
     DeadlineExceeded,
     NotFound,
@@ -72,11 +79,14 @@
     balancer_lag : float
         Seconds for which the balancer may still send work after ``/readyz``
         turned false.
+    records : RecordOptions
+        Sizes of the action records' storage.
     """
 
     name: str
     data_center: str
     balancer_lag: float = 2.0
+    records: RecordOptions = field(default_factory=RecordOptions)
 
 
 class Node:
@@ -98,7 +108,7 @@
         self.answers = Answers(
             self.membership, self.selector, self.quarantine, self.budget
         )
-        self.calls = Calls(self.membership)
+        self.calls = Calls(self.membership, self.budget, options.name, options.records)
 
     @property
     def configuration(self) -> Configuration:
@@ -154,6 +164,8 @@
                 return self.calls.merge_answer(event, now)
             case ServiceFailed():
                 return self.calls.merge_failure(event, now)
+            case OutcomeRead():
+                return self.calls.merge_outcome(event, now)
             case CallerGone():
                 return self._drop(event.request, now)
             case LoadReported():
@@ -166,12 +178,22 @@
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes, now)
                 self.planner.set_nodes(node.name for node in event.nodes)
+                self.calls.recorder.set_nodes(event.nodes)
             case ConfigurationRead():
                 return self._adopt(event.configuration)
+            case (
+                PlatformValue()
+                | Swapped()
+                | SwapConflicted()
+                | SwapLost()
+                | PlatformFailed()
+            ) if event.tag.startswith("record:"):
+                return self.calls.recorder.handle_platform(event, now)
+            case PeerLost(message=message):
+                self.limits.handle_lost(event.node, message, now)
+                return self.calls.recorder.handle_lost(message, now)
             case PeerReached():
                 return self._hear(event, now)
-            case PeerLost():
-                self.limits.handle_lost(event.node, event.message, now)
             case OrderAnswered() | HoldingRead():
                 return self.planner.handle(event, now)
             case (
@@ -292,11 +314,17 @@
             case FingerprintBlocked() as message:
                 self.quarantine.merge(message, now)
                 return []
+            case RecordSubmitted() | RecordDecided() as message:
+                return self.calls.recorder.handle_peer(event.node, message, now)
         return self.limits.handle_peer(event.node, event.message, now)
 
     def _fire(self, timer: str, now: float) -> list[Action]:
         if timer.startswith("answer-"):
             return self.answers.fire(timer, now)
+        if timer.startswith("record-"):
+            return self.calls.recorder.fire(timer, now)
+        if timer.startswith("call-"):
+            return self.calls.keyed.fire(timer, now)
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
@@ -315,6 +343,7 @@
     def _settle(self, now: float) -> list[Action]:
         """End what has ended and start what may start now."""
         actions = self.limits.flush(now)
+        actions.extend(self.calls.keyed.settle(now))
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
             self.admission.release(request, tokens, now)
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -8,7 +8,7 @@
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.message import LimitDemand
 from tarragonrudder.core.rendezvous import Owners
-from tarragonrudder.edges.peer import decode_message, encode_message, sign_message
+from tarragonrudder.edges.peer import PeerSecrets, decode_message, encode_message
 from tests.limits import ACCOUNT, Bench, count_ideal, make_arrivals
 
 END = 50.0  # seconds
@@ -204,8 +204,9 @@
 
 def test_messages_pass_the_codec() -> None:
     message = LimitDemand(1, (ACCOUNT,), (1.0,), (2.0,), (3.0,))
-    body = encode_message("node-1", message, 5.0)
-    event = decode_message(b"key", body, sign_message(b"key", body), 5.0)
+    secrets = PeerSecrets((b"a-secret-of-nodes",))
+    body = encode_message("node-1", "owner", message, 5.0)
+    event = decode_message(secrets, "owner", body, secrets.sign(body), 5.0)
     owner = Limits("owner")
     owner.configure({ACCOUNT: ClientAccount(ACCOUNT, (), 10.0, 10.0)})
     assert len(owner.handle_peer(event.node, event.message, 0.0)) == 1
