--- a/src/tarragonrudder/core/allotment.py
+++ b/src/tarragonrudder/core/allotment.py
@@ -9,11 +9,12 @@
 DEMAND_PERIOD = 2.5  # seconds that a node's demand counts
 HANDOVER_PERIOD = 10.0  # seconds in which an account's former owner is assumed
 RETRY_PER_NODE = 0.25  # seconds until a node asks again, per node that asks
-MAX_RETRY = 1.0  # seconds
+MAX_RETRY = 1.0  # seconds, for few nodes
+MAX_ASK_RATE = 8.0  # demands a second for one account, over all nodes
 TIGHT_RATIO = 0.7  # of the rate; above it nodes are granted little at a time
 TIGHT_COVER = 1.5  # times the wait until the node asks again
 MIN_GRANT = 3.0  # requests
-MAX_DEBT_PERIOD = 10.0  # seconds of the rate that are owed at most
+MAX_DEBT_PERIOD = 30.0  # seconds of the rate that are owed at most
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +107,7 @@
         available = max(0.0, bucket.level + rate * OVERDRAFT_PERIOD)
         if total > rate:
             available *= max(demand.rate / total, 1.0 / asking)
-        wait = min(MAX_RETRY, RETRY_PER_NODE * asking)
+        wait = _choose_retry(asking, demand.rate, total)
         tight = total > rate * TIGHT_RATIO
         if tight:
             # What waits unused on one node is lacking on the others.
@@ -120,9 +121,7 @@
     def drop_idle(self, now: float) -> None:
         """Forget full buckets that no node has spoken of lately."""
         for name, bucket in list(self._buckets.items()):
-            for node, (_, at) in list(bucket.rates.items()):
-                if now - at > DEMAND_PERIOD:
-                    del bucket.rates[node]
+            _forget_rates(bucket, now)
             if not bucket.rates and now - bucket.since > HANDOVER_PERIOD:
                 del self._buckets[name]
 
@@ -140,7 +139,24 @@
         gained = elapsed * account.requests_per_second * self._factor
         bucket.level = min(account.burst, bucket.level + gained)
         bucket.since = now
-        for node, (_, at) in list(bucket.rates.items()):
-            if now - at > DEMAND_PERIOD:
-                del bucket.rates[node]
+        _forget_rates(bucket, now)
         return bucket
+
+
+def _choose_retry(asking: int, rate: float, total: float) -> float:
+    """Return the seconds until a node asks again.
+
+    Nodes with more of the demand ask more often, so that all together make
+    ``MAX_ASK_RATE`` demands a second at most.
+    """
+    few = min(MAX_RETRY, RETRY_PER_NODE * asking)
+    if rate <= 0.0:
+        return few
+    return min(max(few, asking / MAX_ASK_RATE), total / rate / MAX_ASK_RATE + few)
+
+
+def _forget_rates(bucket: _Bucket, now: float) -> None:
+    period = max(DEMAND_PERIOD, 2 * len(bucket.rates) / MAX_ASK_RATE)
+    for node, (_, at) in list(bucket.rates.items()):
+        if now - at > period:
+            del bucket.rates[node]
--- a/src/tarragonrudder/core/limit.py
+++ b/src/tarragonrudder/core/limit.py
@@ -16,19 +16,22 @@
 from tarragonrudder.core.event import NodeAddress
 from tarragonrudder.core.fleet import ClientAccount
 from tarragonrudder.core.message import LimitDemand, LimitGrant, LimitProbe
-from tarragonrudder.core.rendezvous import Owners
+from tarragonrudder.core.rendezvous import Owners, rank_nodes
 
 SHARD_COUNT = 1024
 HORIZON = 4.0  # seconds of measured demand that a node asks for
 GRANT_TTL = 5.0  # seconds after which a grant that was not used expires
 DEMAND_WINDOW = 2.0  # seconds, time constant of the measured demand
+TICK_PERIOD = 1.0  # seconds
 REPORT_PERIOD = 1.0  # seconds between reports of what a node admitted itself
+NODES_PER_SECOND = 20  # one more second between reports for each so many nodes
+MIN_OWNER_COUNT = 7
 LOCAL_BURST_PERIOD = 0.05  # seconds of the rate that cover a round trip
 MIN_DEMAND_COUNT = 3  # requests from which a new stream's rate is measured
 MIN_DEMAND_AGE = 0.1  # seconds
 MIN_ASK_PERIOD = 0.1  # seconds
-MIN_WISH = 3.0  # requests
-MIN_LOCAL_BURST = 2.0  # requests
+MIN_WISH = 4.0  # requests
+MIN_LOCAL_BURST = 3.0  # requests
 IDLE_PERIOD = 60.0  # seconds until an unused account is forgotten at the earliest
 SWEEP_PERIOD = 10.0  # seconds
 SURPLUS_RATIO = 0.25  # part of a grant that must be unneeded to be given back
@@ -68,6 +71,8 @@
         self._name = name
         self._owners = Owners(SHARD_COUNT)
         self._owners.set_nodes([name])
+        self._nodes = frozenset([name])
+        self._period = REPORT_PERIOD
         self._accounts: t.Mapping[str, ClientAccount] = {}
         self._entries: dict[str, _Entry] = {}
         self._allotments = Allotments()
@@ -98,8 +103,12 @@
     def set_nodes(self, nodes: tuple[NodeAddress, ...], now: float = 0.0) -> None:
         """Replace the list of live nodes."""
         names = {node.name for node in nodes} | {self._name}
-        if names != self._owners.nodes:
-            self._owners.set_nodes(names)
+        if names != self._nodes:
+            self._nodes = frozenset(names)
+            # Few owners get few, larger messages; each holds more accounts.
+            count = max(MIN_OWNER_COUNT, math.isqrt(len(names)))
+            self._owners.set_nodes(rank_nodes("limits", names)[:count])
+            self._period = max(REPORT_PERIOD, len(names) / NODES_PER_SECOND)
             self._allotments.note_change(now)
             for record in (self._lost, self._seen, self._heard, self._unreachable):
                 for gone in record.keys() - names:
@@ -166,14 +175,14 @@
         if now - self._heard.get(node, -math.inf) > LOST_PERIOD:
             self._heard.pop(node, None)
             self._unreachable[node] = now
-        if isinstance(message, LimitDemand) and node in self._owners.nodes:
+        if isinstance(message, LimitDemand) and node in self._nodes:
             waiting = self._lost.setdefault(node, [])
             waiting.append(message)
             del waiting[:-MAX_RESENT]
 
     def tick(self, now: float) -> list[Action]:
         """Do the periodic work, once a second."""
-        if now - self._reported_at >= REPORT_PERIOD:
+        if now - self._reported_at >= self._period - TICK_PERIOD / 2:
             self._reported_at = now
             self._report(now)
         if now - self._swept_at >= SWEEP_PERIOD:
@@ -207,16 +216,17 @@
         return entry
 
     def _local_rate(self, account: ClientAccount) -> float:
-        return account.requests_per_second / len(self._owners.nodes)
+        return account.requests_per_second / len(self._nodes)
 
     def _local_burst(self, account: ClientAccount) -> float:
-        equal_part = account.burst / len(self._owners.nodes)
+        equal_part = account.burst / len(self._nodes)
         round_trip = account.requests_per_second * LOCAL_BURST_PERIOD
         return max(MIN_LOCAL_BURST, equal_part, round_trip)
 
     def _ask_ahead(self, entry: _Entry, now: float) -> None:
         held = entry.granted + entry.local
-        wish = _measure_demand(entry, now) * entry.horizon
+        measured = _measure_demand(entry, now)
+        wish = measured * entry.horizon
         if now < entry.ask_at or held >= max(MIN_LOCAL_BURST, wish / 2):
             return
         entry.ask_at = now + 1.0
@@ -247,7 +257,7 @@
             return
         if grant.granted > 0.0:
             entry.granted += grant.granted
-            entry.granted_until = now + GRANT_TTL
+            entry.granted_until = now + max(GRANT_TTL, 3 * grant.retry)
         entry.share = grant.share
         served = grant.granted >= entry.wished
         entry.ask_at = now + (
@@ -292,12 +302,12 @@
     def _report(self, now: float) -> None:
         for entry in self._entries.values():
             recent, entry.recent = entry.recent, 0
-            measured = recent / REPORT_PERIOD
+            measured = recent / self._period
             faded = entry.told > 1.0 and measured < entry.told / 2
             if entry.used == 0.0 and entry.granted == 0.0 and not faded:
                 continue
             self._refill(entry.account, now)
-            surplus = entry.granted - max(1.0, recent * entry.horizon / REPORT_PERIOD)
+            surplus = entry.granted - max(1.0, recent * entry.horizon / self._period)
             if surplus > max(1.0, entry.granted * SURPLUS_RATIO):
                 # The traffic went to other nodes: its grant follows it.
                 entry.granted -= surplus
@@ -326,7 +336,7 @@
                     del record[name]
         lost = len(self._unreachable)
         self._allotments.set_factor(1.0 - lost / (lost + len(self._heard) + 1))
-        peers = sorted(self._owners.nodes - {self._name} - self._heard.keys())
+        peers = sorted(self._nodes - {self._name} - self._heard.keys())
         if len(self._heard) >= CONTACT_COUNT or not self._allotments.active:
             return []
         actions: list[Action] = []
