--- a/src/tarragonrudder/edges/assembly.py
+++ b/src/tarragonrudder/edges/assembly.py
@@ -92,6 +92,7 @@
             item.layer_tokens_per_second,
             item.batch_limit,
             item.checks_fencing,
+            item.movable,
         )
 
 
