--- a/src/tarragonrudder/core/planner.py
+++ b/src/tarragonrudder/core/planner.py
@@ -52,9 +52,9 @@
     read_assignment,
 )
 
-RECORD_KEY = "/tarragonrudder/placement"
+RECORD_KEY = "/tarragonrudder/control/placement"  # under the watched prefix
 RECORD_TAG = "planner-record"
-RECORD_READ_PERIOD = 5.0  # seconds
+RECORD_READ_PERIOD = 60.0  # seconds; the watch brings changes sooner
 RECORD_WRITE_PERIOD = 2.0  # seconds
 PLAN_PERIOD = 10.0  # seconds
 FIRST_PLAN_DELAY = 3.0  # seconds in which engines tell a new planner what they hold
--- a/src/tarragonrudder/daemon.py
+++ b/src/tarragonrudder/daemon.py
@@ -15,6 +15,11 @@
 from tarragonrudder.edges.caller import make_caller_app
 from tarragonrudder.edges.clock import Clock
 from tarragonrudder.edges.driver import Driver
+from tarragonrudder.edges.exchange import (
+    ExchangeClient,
+    Status,
+    add_exchange_route,
+)
 from tarragonrudder.edges.log import open_log
 from tarragonrudder.edges.metrics import Metrics
 from tarragonrudder.edges.peer import PeerClient, make_peer_app, parse_secrets
@@ -45,9 +50,8 @@
         self._platform = PlatformClient(
             settings.platform.address, settings.platform.timeout
         )
-        peers = PeerClient(
-            node.name, self._secrets, make_peer_context(settings.tls), self._metrics
-        )
+        context = make_peer_context(settings.tls)
+        peers = PeerClient(node.name, self._secrets, context, self._metrics)
         options = NodeOptions(node.name, node.data_center, node.balancer_lag)
         core = Node(options, random.Random())
         self._driver = Driver(
@@ -57,8 +61,17 @@
             self._logger,
             self._metrics,
             peers,
+            ExchangeClient(self._secrets, context, self._metrics),
+        )
+        self._driver.loader.set_seeds(tuple(node.peers.split()))
+        self._sync = PlatformSync(
+            settings,
+            self._platform,
+            self._driver,
+            self._logger,
+            self._metrics,
+            random.Random(),
         )
-        self._sync = PlatformSync(settings, self._platform, self._driver, self._logger)
 
     async def run(self) -> None:
         """Serve until a graceful shutdown has ended."""
@@ -85,6 +98,13 @@
         peer_app = make_peer_app(
             node.name, self._secrets, self._metrics, self._driver.post
         )
+        add_exchange_route(
+            peer_app,
+            self._secrets,
+            self._metrics,
+            self._describe,
+            self._driver.loader.store.pieces.find,
+        )
         caller_config = self._make_config(node.caller_bind)
         secure_caller_port(caller_config, self._settings.tls)
         peer_config = self._make_config(node.peer_bind)
@@ -93,6 +113,18 @@
             ports.start_soon(self._serve, caller_app, caller_config)
             ports.start_soon(self._serve, peer_app, peer_config)
 
+    def _describe(self) -> Status:
+        core = self._driver.node
+        return Status(
+            node=self._settings.node.name,
+            generation=core.configuration.generation,
+            digest=core.configuration.digest,
+            ready=core.ready,
+            stopping=core.stopping,
+            in_flight=core.in_flight,
+            platform_error=self._platform.last_error,
+        )
+
     def _make_config(self, bind: str) -> Config:
         config = Config()
         config.bind = [bind]
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -5,10 +5,12 @@
 
 import typing as t
 
-from tests.matrix import placement, records
+from tests.matrix import answers, configuration, placement, records
 from tests.matrix.table import Cell
 
 AREAS: tuple[t.Callable[[], list[Cell]], ...] = (
+    answers.list_cells,
+    configuration.list_cells,
     records.list_cells,
     placement.list_cells,
 )
--- a/tests/planning.py
+++ b/tests/planning.py
@@ -5,6 +5,7 @@
 
 import heapq
 import itertools
+import random
 import typing as t
 from dataclasses import dataclass, field
 
@@ -19,6 +20,7 @@
     ModelRoute,
     WeightStore,
 )
+from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.placement import Assignment, estimate_bound, has_chain
 from tarragonrudder.core.planner import Planner
@@ -189,7 +191,8 @@
         self._order = itertools.count()
         names = [f"node-{index}" for index in range(3)]
         for index, name in enumerate(names):
-            planner = Planner(name, Membership(name))
+            membership = Membership(name, Gossip(random.Random(name)))
+            planner = Planner(name, membership)
             planner.configure(self.configuration)
             planner.set_nodes(names)
             self.planners[name] = planner
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -146,9 +146,13 @@
 
     def prepare_node(self, name: str) -> None:
         """Write a node's settings."""
-        caller, peer = find_ports(2)
+        (caller,) = find_ports(1)
         self.addresses[name] = f"http://127.0.0.1:{caller}"
-        self.peer_addresses[name] = f"http://127.0.0.1:{peer}"
+        for other in [*self.nodes, name]:
+            if other not in self.peer_addresses:
+                (port,) = find_ports(1)
+                self.peer_addresses[other] = f"http://127.0.0.1:{port}"
+        peer = self.peer_addresses[name].rpartition(":")[2]
         secret = self.folder / "peer-secret"
         secret.write_text("secret-of-the-loopback-nodes")
         settings = self.folder / f"{name}.ini"
@@ -200,10 +204,6 @@
         target.mkdir(exist_ok=True)
         digest = hashlib.sha256(API_KEY.encode()).hexdigest()
         lines = [
-            "[model:jury@1]",
-            f"layers = {LAYER_COUNT}",
-            "[route:jury]",
-            "model = jury@1",
             "[priority:normal]",
             "level = 1",
             "deadline_s = 30",
@@ -218,6 +218,9 @@
             "data_center = mi-1",
             "service = register",
         ]
+        if self.engines:
+            lines += ["[model:jury@1]", f"layers = {LAYER_COUNT}"]
+            lines += ["[route:jury]", "model = jury@1"]
         for spec in self.engines:
             lines += [
                 f"[engine:{spec.name}]",
@@ -236,6 +239,7 @@
             "apply",
             str(self.folder / "configuration"),
             f"--platform={self.addresses['platform']}",
+            "--wait=0",
         )
 
     def run_tool(
