Order an engine back to its desired state, whatever it holds

Cause: a movable engine that held something else than the record said was taken as it was, and the nodes' record of it stayed wrong. Seen when the configured layers of an engine were not what it held.

--- a/src/tarragonrudder/core/planner.py
+++ b/src/tarragonrudder/core/planner.py
@@ -251,9 +251,9 @@
         return target
 
     def _find_desired(self, engine: Engine) -> Assignment:
-        held = self._known.get(engine.name) or self._target.get(engine.name)
-        held = held or self._record.placed.get(engine.name)
-        return held or Assignment(engine.model, engine.version, engine.layers)
+        """Return what an engine should hold, whatever it does hold."""
+        desired = self._target.get(engine.name) or self._record.placed.get(engine.name)
+        return desired or Assignment(engine.model, engine.version, engine.layers)
 
     def _begin_moves(self, now: float) -> list[Action]:
         actions: list[Action] = []
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -130,13 +130,18 @@
         "model = draft@1",
         "[engine:slow-a]",
         "movable = true",
+        # The engine holds layers of the other model until it is ordered.
+        "[engine:slow-b]",
+        "model = draft@1",
+        "layers = 0-7",
+        "movable = true",
         "[busy-hours:all-day]",
         "model = draft@1",
         "days = mon tue wed thu fri sat sun",
         "start = 00:00",
         "end = 00:00",
         "zone = Europe/Rome",
-        "demand = 50",
+        "demand = 200",
     ]
     target = cluster.folder / "configuration" / "20-placement.ini"
     target.write_text("\n".join(lines) + "\n")
@@ -159,9 +164,17 @@
 
     for node in cluster.nodes:
         wait_until(lambda node=node: answered(node), PLACED_TIMEOUT, f"draft by {node}")
-    entries = read_journal(cluster.journal("slow-a"))
-    orders = [entry["order"] for entry in entries if entry["kind"] == "order"]
-    assert orders
-    assert {(order["model"], order["first"], order["last"]) for order in orders} == {
-        ("draft", 0, 7)
-    }
+    for engine in ("slow-a", "slow-b"):
+        wait_until(
+            lambda engine=engine: list_orders(cluster, engine) != [],
+            PLACED_TIMEOUT,
+            f"an order to {engine}",
+        )
+        for order in list_orders(cluster, engine):
+            held = (order["model"], order["first"], order["last"])
+            assert held == ("draft", 0, 7)
+
+
+def list_orders(cluster: Cluster, engine: str) -> list[dict[str, t.Any]]:
+    entries = read_journal(cluster.journal(engine))
+    return [entry["order"] for entry in entries if entry["kind"] == "order"]
