--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -309,7 +309,7 @@
             return actions
         self.planner.configure(configuration)
         self._place_engines()
-        self.limits.configure({item.name: item for item in configuration.accounts})
+        self.limits.configure(self.adoption.index.accounts)
         self.admission.configure(configuration)
         self.calls.configure(configuration)
         return actions
@@ -355,10 +355,10 @@
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
+            actions.extend(self.planner.tick(now))
             actions.extend(self.membership.tick(now))
             self.quarantine.tick(now)
             self.answers.tick(now)
-            actions.extend(self.planner.tick(now))
             return actions
         if timer == GOSSIP_TIMER:
             return self.gossip.fire(now)
--- a/src/tarragonrudder/core/planner.py
+++ b/src/tarragonrudder/core/planner.py
@@ -52,9 +52,9 @@
     read_assignment,
 )
 
-RECORD_KEY = "/tarragonrudder/placement"
+RECORD_KEY = "/tarragonrudder/control/placement"  # under the watched prefix
 RECORD_TAG = "planner-record"
-RECORD_READ_PERIOD = 5.0  # seconds
+RECORD_READ_PERIOD = 60.0  # seconds; the watch brings changes sooner
 RECORD_WRITE_PERIOD = 2.0  # seconds
 PLAN_PERIOD = 10.0  # seconds
 FIRST_PLAN_DELAY = 3.0  # seconds in which engines tell a new planner what they hold
@@ -239,18 +239,21 @@
             if period.start <= now:
                 continue
             coming = sum_demand(known.busy_hours, period.start)
+            if all(rate <= demand.get(name, 0.0) for name, rate in coming.items()):
+                continue
             for name, rate in demand.items():
                 coming[name] = max(rate, coming.get(name, 0.0))
             ahead = plan_placement(known, target, coming, self._bound)
             moves = list_moves(known, current, ahead)
             if period.start - measure_lead(known, moves) <= now:
                 target = ahead
+                demand = coming
         return target
 
     def _find_desired(self, engine: Engine) -> Assignment:
-        held = self._known.get(engine.name) or self._target.get(engine.name)
-        held = held or self._record.placed.get(engine.name)
-        return held or Assignment(engine.model, engine.version, engine.layers)
+        """Return what an engine should hold, whatever it does hold."""
+        desired = self._target.get(engine.name) or self._record.placed.get(engine.name)
+        return desired or Assignment(engine.model, engine.version, engine.layers)
 
     def _begin_moves(self, now: float) -> list[Action]:
         actions: list[Action] = []
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -150,16 +150,16 @@
                 self._spawn(self._swap, action)
             case actions.GrantLease():
                 self._spawn(self._grant, action)
+            case actions.SendOrder():
+                self._spawn(self._orders.send, action)
+            case actions.ReadHolding():
+                self._spawn(self._orders.read, action)
             case actions.LoadConfiguration():
                 self._spawn(self.loader.load, action)
             case actions.CheckFolder():
                 self._spawn(self.loader.check, action)
             case actions.AskPeers():
                 self._spawn(self.loader.ask_peers)
-            case actions.SendOrder():
-                self._spawn(self._orders.send, action)
-            case actions.ReadHolding():
-                self._spawn(self._orders.read, action)
             case actions.SendPeer():
                 self._spawn(self._send_peer, action)
             case actions.LogDecision():
--- a/src/tarragonrudder/edges/schema.py
+++ b/src/tarragonrudder/edges/schema.py
@@ -122,7 +122,7 @@
         False, description="whether it refuses orders with an old fencing number"
     )
     movable: bool = Field(
-        False, description="whether the planner may change its model and layers"
+        False, description="whether the planner may order it to hold something else"
     )
 
 
--- a/src/tarragonrudder/edges/sync.py
+++ b/src/tarragonrudder/edges/sync.py
@@ -24,6 +24,7 @@
     VirtualMachine,
     VmsListed,
 )
+from tarragonrudder.core.planner import RECORD_KEY, RECORD_TAG
 from tarragonrudder.edges.driver import Driver
 from tarragonrudder.edges.metrics import Metrics
 from tarragonrudder.edges.platform import (
@@ -165,6 +166,11 @@
             self._merge_node(change)
             self._driver.post(NodesListed(tuple(self._nodes.values())))
             return
+        if change.key == RECORD_KEY:
+            value = change.value or None
+            event = PlatformValue(RECORD_TAG, change.key, value, change.revision)
+            self._driver.post(event)
+            return
         if change.key.startswith(CONFIGURATION_PREFIX):
             value = change.value or None
             event = PlatformValue(TAG, change.key, value, change.revision)
