Choose chains by the flow plan, admit by an adaptive window and fair shares

Cause: choice by own in-flight count alone ignores ranges, links, peers and reports; admission had one static window and no fairness. Now: candidates are drawn from the flow plan and the one expected to be fastest is taken; the concurrency window follows the observed token gap and time to first token; the queue is start-time fair by client account, bounded by time, and refuses at once. Ruled out so far: a static 1/N share of the bound, which starves a node that sees more traffic than others.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Small measurements, each printing a table."""
+"""Measurements of the policy and of the node's own cost."""
--- /dev/null
+++ b/src/tarragonrudder/core/load.py
@@ -0,0 +1,86 @@
+"""Estimate of each engine's load from own work and lagged reports."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from tarragonrudder.core.event import LoadReported
+
+HISTORY_PERIOD = 5.0  # seconds of own starts and ends that are remembered
+MAX_HISTORY = 256  # changes remembered for each engine
+HALF_LIFE = 2.0  # seconds in which a report loses half of its weight
+USUAL_SMOOTHING = 0.1  # weight of the newest report in an engine's usual load
+
+
+@dataclass(slots=True)
+class _State:
+    running: int = 0
+    layers: int = 0
+    changes: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=MAX_HISTORY)
+    )
+    measured_at: float = -1.0
+    others: float = 0.0
+    usual: float = 0.0
+
+
+class Load:
+    """Answers in flight on each engine: own ones exactly, others by report."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, _State] = {}
+
+    def start(self, engine: str, layers: int, now: float) -> None:
+        """Count an answer that begins to use an engine."""
+        state = self._states.setdefault(engine, _State())
+        state.running += 1
+        state.layers += layers
+        state.changes.append((now, 1))
+
+    def finish(self, engine: str, layers: int, now: float) -> None:
+        """Count an answer that no longer uses an engine."""
+        state = self._states[engine]
+        state.running -= 1
+        state.layers -= layers
+        state.changes.append((now, -1))
+
+    def merge(self, event: LoadReported, now: float) -> None:
+        """Take in a report; what the node itself ran at that time is not others'."""
+        state = self._states.setdefault(event.upstream, _State())
+        measured_at = now - event.age
+        if measured_at < state.measured_at:
+            return
+        state.measured_at = measured_at
+        own = self._own_at(state, measured_at, now)
+        state.others = max(0.0, float(event.running + event.queued - own))
+        state.usual += USUAL_SMOOTHING * (state.others - state.usual)
+
+    def own(self, engine: str) -> int:
+        """Return the node's own answers on an engine."""
+        state = self._states.get(engine)
+        return state.running if state is not None else 0
+
+    def own_layers(self, engine: str) -> int:
+        """Return the layers that the own answers run on an engine, summed."""
+        state = self._states.get(engine)
+        return state.layers if state is not None else 0
+
+    def others(self, engine: str, now: float) -> float:
+        """Return the other nodes' answers on an engine, as far as is known.
+
+        An old report fades towards the engine's usual load.
+        """
+        state = self._states.get(engine)
+        if state is None or state.measured_at < 0.0:
+            return 0.0
+        weight = 0.5 ** ((now - state.measured_at) / HALF_LIFE)
+        return weight * state.others + (1.0 - weight) * state.usual
+
+    def _own_at(self, state: _State, when: float, now: float) -> int:
+        while state.changes and state.changes[0][0] < now - HISTORY_PERIOD:
+            state.changes.popleft()
+        own = state.running
+        for at, change in reversed(state.changes):
+            if at <= when:
+                break
+            own -= change
+        return own
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -39,10 +39,11 @@
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.message import FingerprintBlocked, UpstreamLeaving
+from tarragonrudder.core.pace import Pace
+from tarragonrudder.core.plans import Plans
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
 from tarragonrudder.errors import (
-    DeadlineExceeded,
     NotFound,
     Quarantined,
     RateLimited,
@@ -79,9 +80,11 @@
         self._accounts: dict[str, ClientAccount] = {}
         self.adoption = Adoption()
         self.membership = Membership(options.name)
-        self.selector = Selector(options.data_center, source)
+        plans = Plans()
+        self.selector = Selector(options.data_center, source, plans)
         self.limits = Limits(options.name)
-        self.admission = Admission()
+        self.admission = Admission(plans)
+        self.pace = Pace()
         self.quarantine = Quarantine()
         self.budget = RetryBudget()
         self.answers = Answers(
@@ -123,10 +126,21 @@
         list of Action
             To be carried out in order.
         """
+        self._observe(event, now)
         actions = self._dispatch(event, now)
         actions.extend(self._settle(now))
+        self.pace.note_actions(actions, now)
         return actions
 
+    def _observe(self, event: Event, now: float) -> None:
+        """Learn from the pace of tokens how busy the fleet is."""
+        observation = self.pace.note_event(event, now)
+        if observation is None:
+            return
+        self.admission.observe(observation)
+        if not observation.first:
+            self.selector.observe_gap(observation.chain, observation.seconds, now)
+
     def _dispatch(self, event: Event, now: float) -> list[Action]:
         match event:
             case TokensArrived():
@@ -154,6 +168,7 @@
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes)
+                self.admission.set_node_count(len(event.nodes))
             case ConfigurationRead():
                 return self._adopt(event.configuration)
             case PeerReached():
@@ -277,9 +292,10 @@
         actions: list[Action] = []
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
+            self.pace.forget(request)
             self.admission.release(request, tokens, now)
         for ticket in self.admission.take_expired(now):
-            problem = DeadlineExceeded("it waited too long; send it again")
+            problem = self.admission.refuse(ticket, now)
             actions.append(FailAnswer(ticket.request, problem))
             self._chats.pop(ticket.request, None)
         for ticket in self.admission.take_ready(now):
--- /dev/null
+++ b/src/tarragonrudder/core/plans.py
@@ -0,0 +1,65 @@
+"""Flow plans of the models, kept until the fleet changes."""
+
+import typing as t
+from collections import OrderedDict
+
+from tarragonrudder.core.fleet import Configuration, Engine, Link, Model
+from tarragonrudder.core.flow import Plan, compute_plan
+
+PLAN_PERIOD = 0.5  # seconds between two new plans of one model
+MAX_PLANS = 8  # plans kept for each model
+
+
+class Plans:
+    """Computes each plan when it is first needed.
+
+    A plan belongs to a model and the engines that may not be used. Where
+    engines come and go faster than `PLAN_PERIOD`, the plan before stays in use.
+    """
+
+    def __init__(self) -> None:
+        self._fleet: tuple[t.Any, ...] = ()
+        self._links: tuple[Link, ...] = ()
+        self._engines: dict[tuple[str, str], tuple[Engine, ...]] = {}
+        self._plans: dict[tuple[str, str], OrderedDict[frozenset[str], Plan]] = {}
+        self._computed_at: dict[tuple[str, str], float] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a new configuration into use; plans stay if the fleet did."""
+        fleet = (configuration.models, configuration.engines, configuration.links)
+        if fleet == self._fleet:
+            return
+        self._fleet = fleet
+        self._links = configuration.links
+        self._plans.clear()
+        self._computed_at.clear()
+        engines: dict[tuple[str, str], list[Engine]] = {}
+        for engine in configuration.engines:
+            engines.setdefault((engine.model, engine.version), []).append(engine)
+        self._engines = {key: tuple(group) for key, group in engines.items()}
+
+    def list_engines(self, model: Model) -> tuple[Engine, ...]:
+        """Return all configured engines of a model."""
+        return self._engines.get((model.name, model.version), ())
+
+    def find(self, model: Model, excluded: frozenset[str], now: float) -> Plan:
+        """Return the plan without the excluded engines, or the newest one."""
+        key = (model.name, model.version)
+        engines = self._engines.get(key, ())
+        if excluded:
+            excluded = frozenset(e.name for e in engines if e.name in excluded)
+        plans = self._plans.setdefault(key, OrderedDict())
+        plan = plans.get(excluded)
+        if plan is not None:
+            plans.move_to_end(excluded)
+            return plan
+        recent = now - self._computed_at.get(key, -PLAN_PERIOD) < PLAN_PERIOD
+        if plans and recent:
+            return next(reversed(plans.values()))
+        usable = [engine for engine in engines if engine.name not in excluded]
+        plan = compute_plan(model, usable, self._links)
+        plans[excluded] = plan
+        self._computed_at[key] = now
+        if len(plans) > MAX_PLANS:
+            plans.popitem(last=False)
+        return plan
--- /dev/null
+++ b/src/tarragonrudder/core/prefix.py
@@ -0,0 +1,42 @@
+"""Which engines hold which prompt prefixes in their caches."""
+
+from collections import OrderedDict
+
+from tarragonrudder.core.event import CacheChanged
+
+MAX_PREFIXES = 128  # prefixes remembered for each engine
+
+
+class Prefixes:
+    """Follows the engines' cache events, which come late and with gaps.
+
+    A gap may hide evictions, so all that was known of the engine is dropped;
+    what later events say is taken as new knowledge.
+    """
+
+    def __init__(self) -> None:
+        self._held: dict[str, OrderedDict[str, None]] = {}
+        self._sequences: dict[str, int] = {}
+
+    def merge(self, event: CacheChanged) -> None:
+        """Take in an event; a late one is dropped."""
+        last = self._sequences.get(event.upstream)
+        restarted = event.sequence <= 1
+        if last is not None and event.sequence <= last and not restarted:
+            return
+        held = self._held.setdefault(event.upstream, OrderedDict())
+        if restarted or (last is not None and event.sequence != last + 1):
+            held.clear()
+        self._sequences[event.upstream] = event.sequence
+        if not event.held:
+            held.pop(event.prefix, None)
+            return
+        held[event.prefix] = None
+        held.move_to_end(event.prefix)
+        if len(held) > MAX_PREFIXES:
+            held.popitem(last=False)
+
+    def holds(self, engine: str, prefix: str) -> bool:
+        """Tell whether an engine is known to hold a prefix."""
+        held = self._held.get(engine)
+        return held is not None and prefix in held
--- /dev/null
+++ b/src/tarragonrudder/core/sampler.py
@@ -0,0 +1,115 @@
+"""Random chains in proportion to a flow plan."""
+
+import random
+import typing as t
+from bisect import bisect_left
+from itertools import accumulate
+
+from tarragonrudder.core.chain import Hop
+from tarragonrudder.core.fleet import Engine, LayerRange
+from tarragonrudder.core.flow import Plan
+
+
+class _Choice:
+    """Engines with weights, to draw from."""
+
+    def __init__(self, weights: t.Mapping[str, float]) -> None:
+        self.names = [name for name, weight in weights.items() if weight > 0.0]
+        self.sums = list(accumulate(weights[name] for name in self.names))
+
+    @property
+    def total(self) -> float:
+        return self.sums[-1] if self.sums else 0.0
+
+    def draw(self, source: random.Random) -> str | None:
+        if not self.sums:
+            return None
+        index = bisect_left(self.sums, source.random() * self.sums[-1])
+        return self.names[min(index, len(self.names) - 1)]
+
+
+class Sampler:
+    """Draws chains so that each engine gets its share of the plan.
+
+    From one segment to the next a token stays on its engine where the plan
+    has work for both there; the rest crosses as the plan's links allow.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self._engines: dict[str, Engine] = {}
+        self._rates: list[dict[str, float]] = []
+        for shares in plan.shares:
+            self._rates.append({each.engine.name: each.rate for each in shares})
+            for share in shares:
+                self._engines[share.engine.name] = share.engine
+        self._first = _Choice(self._rates[0]) if self._rates else _Choice({})
+        self._entries: list[dict[str, _Choice]] = []
+        self._centers: list[dict[str, _Choice]] = []
+        for index in range(1, len(plan.segments)):
+            self._prepare(index)
+
+    def draw(self, source: random.Random) -> tuple[Hop, ...]:
+        """Return a random chain's hops; empty if the plan has none."""
+        name = self._first.draw(source)
+        if name is None:
+            return ()
+        hops: list[Hop] = []
+        begin = 0
+        segments = self.plan.segments
+        for index in range(1, len(segments)):
+            after = self._draw_next(name, index, source)
+            if after is None:
+                return ()
+            if after == name:
+                continue
+            hops.append(self._make_hop(name, begin, index - 1))
+            name, begin = after, index
+        hops.append(self._make_hop(name, begin, len(segments) - 1))
+        return tuple(hops)
+
+    def _prepare(self, index: int) -> None:
+        """Work out what enters a segment from other engines."""
+        before, here = self._rates[index - 1], self._rates[index]
+        entering: dict[str, dict[str, float]] = {}
+        crossing: dict[str, dict[str, float]] = {}
+        for each in self.plan.crossings[index - 1]:
+            crossing.setdefault(each.source, {})[each.target] = each.rate
+        for name, rate in here.items():
+            center = self._engines[name].data_center
+            stays = min(rate, before.get(name, 0.0))
+            entering.setdefault(center, {})[name] = rate - stays
+            if center in crossing.get(center, {}):
+                left = crossing[center][center] - stays
+                crossing[center][center] = max(0.0, left)
+        entries = {}
+        for center, weights in entering.items():
+            choice = _Choice(weights)
+            if not choice.sums:
+                # All stay by the plan; who comes from elsewhere joins them.
+                choice = _Choice({name: here[name] for name in weights})
+            entries[center] = choice
+        self._entries.append(entries)
+        centers = {center: _Choice(rates) for center, rates in crossing.items()}
+        self._centers.append(centers)
+
+    def _draw_next(self, name: str, index: int, source: random.Random) -> str | None:
+        rate = self._rates[index - 1][name]
+        stays = min(rate, self._rates[index].get(name, 0.0))
+        if stays > 0.0 and source.random() * rate < stays:
+            return name
+        entries = self._entries[index - 1]
+        own_center = self._engines[name].data_center
+        centers = self._centers[index - 1].get(own_center)
+        target = centers.draw(source) if centers is not None else None
+        if target is None:
+            target = own_center if own_center in entries else next(iter(entries), None)
+        if target is None or target not in entries:
+            return None
+        return entries[target].draw(source)
+
+    def _make_hop(self, name: str, begin: int, end: int) -> Hop:
+        engine = self._engines[name]
+        segments = self.plan.segments
+        layers = LayerRange(segments[begin].first, segments[end].last)
+        return Hop(name, engine.address, layers)
--- a/src/tarragonrudder/core/selection.py
+++ b/src/tarragonrudder/core/selection.py
@@ -1,11 +1,24 @@
 """Choice of the chain that an answer passes through."""
 
 import random
+import typing as t
 from dataclasses import dataclass
 
 from tarragonrudder.core.chain import Chain, Hop
+from tarragonrudder.core.cover import cover_layers
 from tarragonrudder.core.event import CacheChanged, LoadReported
 from tarragonrudder.core.fleet import Configuration, Engine, LayerRange, Model
+from tarragonrudder.core.load import Load
+from tarragonrudder.core.plans import Plans
+from tarragonrudder.core.prefix import Prefixes
+from tarragonrudder.core.sampler import Sampler
+from tarragonrudder.core.slowness import Slowness
+
+CANDIDATES = 4  # chains drawn from the plan, of which the least loaded is taken
+BOTTLENECK_WEIGHT = 2.0  # of the slowest stage, beside the sum of all stages
+PREFIX_DISCOUNT = 0.3  # share of the cost that a cached prefix saves
+DEFAULT_LATENCY = 0.0005  # seconds over a link that is not configured
+MAX_SAMPLERS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,62 +47,187 @@
 class Selector:
     """Chooses chains and keeps count of its own work in flight."""
 
-    def __init__(self, data_center: str, source: random.Random) -> None:
+    def __init__(
+        self, data_center: str, source: random.Random, plans: Plans | None = None
+    ) -> None:
         self._data_center = data_center
         self._random = source
-        self._engines: dict[tuple[str, str], list[Engine]] = {}
-        self._running: dict[str, int] = {}
+        self._plans = plans if plans is not None else Plans()
+        self._engines: dict[str, Engine] = {}
+        self._latencies: dict[frozenset[str], float] = {}
+        self._samplers: dict[int, Sampler] = {}
+        self._load = Load()
+        self._prefixes = Prefixes()
+        self._slowness = Slowness()
+        self._now = 0.0
 
     def configure(self, configuration: Configuration) -> None:
         """Take a new configuration into use."""
-        self._engines = {}
-        for engine in configuration.engines:
-            key = (engine.model, engine.version)
-            self._engines.setdefault(key, []).append(engine)
+        self._plans.configure(configuration)
+        self._engines = {engine.name: engine for engine in configuration.engines}
+        self._latencies = {}
+        for link in configuration.links:
+            self._latencies[frozenset((link.source, link.target))] = link.latency
+        self._samplers.clear()
 
     def choose(self, need: Need, now: float) -> Chain | None:
-        """Return a chain that covers all layers, or None if there is none."""
-        engines = self._engines.get((need.model.name, need.model.version), [])
-        usable = [engine for engine in engines if engine.name not in need.excluded]
-        hops: list[Hop] = []
-        layer = 0
-        while layer < need.model.layer_count:
-            engine = self._choose_stage(usable, layer, need.keep)
-            if engine is None:
-                return None
-            last = engine.layers.last
-            hops.append(Hop(engine.name, engine.address, LayerRange(layer, last)))
-            layer = last + 1
-        return Chain(need.model.name, need.model.version, tuple(hops))
+        """Return a chain that covers all layers, or None if there is none.
+
+        Chains are drawn in proportion to the flow plan and the one that is
+        expected to be fastest is taken. Drawing keeps nodes that know the same
+        from all choosing the same idle engine.
+        """
+        self._now = now
+        hops = self._choose_hops(need, need.excluded | need.avoided)
+        if not hops and need.avoided:
+            hops = self._choose_hops(need, need.excluded)
+        if not hops:
+            return None
+        return Chain(need.model.name, need.model.version, hops)
 
     def start(self, chain: Chain) -> None:
         """Count an attempt that begins on a chain."""
-        for name in chain.upstreams:
-            self._running[name] = self._running.get(name, 0) + 1
+        for hop in chain.hops:
+            self._load.start(hop.upstream, len(hop.layers), self._now)
 
     def finish(self, chain: Chain) -> None:
         """Count an attempt that ended on a chain."""
-        for name in chain.upstreams:
-            self._running[name] -= 1
+        for hop in chain.hops:
+            self._load.finish(hop.upstream, len(hop.layers), self._now)
 
     def merge_load(self, event: LoadReported, now: float) -> None:
         """Take in an engine's load report."""
+        self._now = now
+        self._load.merge(event, now)
 
     def merge_cache(self, event: CacheChanged, now: float) -> None:
         """Take in a cache event; a gap makes the engine's cache unknown."""
-
-    def _choose_stage(
-        self, engines: list[Engine], layer: int, keep: Chain | None
-    ) -> Engine | None:
-        kept = keep.upstreams if keep is not None else ()
-        best: Engine | None = None
-        best_cost = (True, 0.0, 0.0)
-        for engine in engines:
-            if not engine.layers.first <= layer <= engine.layers.last:
+        self._prefixes.merge(event)
+
+    def observe_gap(self, chain: Chain, gap: float, now: float) -> None:
+        """Take in the seconds between two tokens of an attempt on a chain."""
+        self._now = now
+        parts = list(chain.upstreams)
+        for before, after in zip(chain.hops, chain.hops[1:], strict=False):
+            link = self._name_link(before.upstream, after.upstream)
+            if link is not None:
+                parts.append(link)
+        self._slowness.observe(chain, parts, gap)
+
+    def describe(self, chain: Chain, prefix: str = "") -> dict[str, t.Any]:
+        """Return the reasons for a chain, for its log line."""
+        own = [self._load.own(name) for name in chain.upstreams]
+        others = [self._load.others(name, self._now) for name in chain.upstreams]
+        cached = [n for n in chain.upstreams if self._prefixes.holds(n, prefix)]
+        return {
+            "expected_cost_ms": round(1e3 * self._measure(chain.hops, prefix), 3),
+            "own_in_flight": own,
+            "others_in_flight": [round(each, 1) for each in others],
+            "cached_on": cached,
+        }
+
+    def _choose_hops(self, need: Need, excluded: frozenset[str]) -> tuple[Hop, ...]:
+        if need.keep is not None:
+            return self._repair(need, need.keep, excluded)
+        plan = self._plans.find(need.model, excluded, self._now)
+        sampler = self._samplers.get(id(plan))
+        if sampler is None or sampler.plan is not plan:
+            if len(self._samplers) >= MAX_SAMPLERS:
+                self._samplers.clear()
+            sampler = Sampler(plan)
+            self._samplers[id(plan)] = sampler
+        best: tuple[Hop, ...] = ()
+        best_cost = 0.0
+        for _ in range(CANDIDATES):
+            hops = sampler.draw(self._random)
+            if not hops or any(hop.upstream in excluded for hop in hops):
+                continue
+            cost = self._measure(hops, need.prefix)
+            if not best or cost < best_cost:
+                best, best_cost = hops, cost
+        if best:
+            return best
+        whole = LayerRange(0, need.model.layer_count - 1)
+        return self._cover(need.model, whole, excluded)
+
+    def _repair(
+        self, need: Need, keep: Chain, excluded: frozenset[str]
+    ) -> tuple[Hop, ...]:
+        """Keep the healthy stages of a chain and cover the layers between."""
+        hops: list[Hop] = []
+        first = 0
+        end = need.model.layer_count
+        for hop in keep.hops:
+            if hop.upstream in excluded or hop.upstream not in self._engines:
+                continue
+            if not self._engines[hop.upstream].layers.contains(hop.layers):
                 continue
-            running = self._running.get(engine.name, 0)
-            cost = (running + 1) / engine.layer_tokens_per_second
-            key = (engine.name not in kept, cost, self._random.random())
-            if best is None or key < best_cost:
-                best, best_cost = engine, key
-        return best
+            if hop.layers.first > first:
+                gap = LayerRange(first, hop.layers.first - 1)
+                filled = self._cover(need.model, gap, excluded)
+                if not filled:
+                    return self._cover(need.model, LayerRange(0, end - 1), excluded)
+                hops.extend(filled)
+            hops.append(hop)
+            first = hop.layers.last + 1
+        if first < end:
+            filled = self._cover(need.model, LayerRange(first, end - 1), excluded)
+            if not filled:
+                return self._cover(need.model, LayerRange(0, end - 1), excluded)
+            hops.extend(filled)
+        return tuple(hops)
+
+    def _cover(
+        self, model: Model, layers: LayerRange, excluded: frozenset[str]
+    ) -> tuple[Hop, ...]:
+        engines = [
+            engine
+            for engine in self._plans.list_engines(model)
+            if engine.name not in excluded
+        ]
+        return cover_layers(engines, layers, self._measure_stage, self._random)
+
+    def _measure(self, hops: tuple[Hop, ...], prefix: str) -> float:
+        """Return the expected seconds of a token, the slowest stage weighing more."""
+        total = 0.0
+        slowest = 0.0
+        cached = 0
+        layers = 0
+        before = ""
+        for hop in hops:
+            stage = self._measure_stage(self._engines[hop.upstream], hop.layers)
+            slowest = max(slowest, stage)
+            total += stage + self._measure_link(before, hop.upstream)
+            before = hop.upstream
+            layers += len(hop.layers)
+            if self._prefixes.holds(hop.upstream, prefix):
+                cached += len(hop.layers)
+        cost = total + BOTTLENECK_WEIGHT * slowest
+        return cost * (1.0 - PREFIX_DISCOUNT * cached / max(1, layers))
+
+    def _measure_stage(self, engine: Engine, layers: LayerRange) -> float:
+        """Return the seconds in which all answers in flight get one token."""
+        name = engine.name
+        others = self._load.others(name, self._now) * len(engine.layers)
+        work = self._load.own_layers(name) + others + len(layers)
+        seconds = work / engine.layer_tokens_per_second
+        return seconds * self._slowness.penalty(name)
+
+    def _measure_link(self, before: str, after: str) -> float:
+        if not before:
+            return 0.0
+        link = self._name_link(before, after)
+        if link is None:
+            return 0.0
+        source = self._engines[before].data_center
+        target = self._engines[after].data_center
+        latency = self._latencies.get(frozenset((source, target)), DEFAULT_LATENCY)
+        # A slow link delays each token about as much as a slow stage does.
+        penalty = self._slowness.penalty(link)
+        return latency * penalty + DEFAULT_LATENCY * 10 * (penalty - 1.0)
+
+    def _name_link(self, before: str, after: str) -> str | None:
+        one, other = self._engines.get(before), self._engines.get(after)
+        if one is None or other is None or one.data_center == other.data_center:
+            return None
+        return "-".join(sorted((one.data_center, other.data_center)))
--- /dev/null
+++ b/src/tarragonrudder/core/share.py
@@ -0,0 +1,156 @@
+"""Queue that serves client accounts in proportion to their weights.
+
+Start-time fair queueing (Goyal, Vin and Cheng, 1996): a ticket's tag is the
+virtual time at which its account may next begin, so an account that sends much
+waits behind one that sends little. Every operation takes O(log n).
+"""
+
+import heapq
+import typing as t
+from dataclasses import dataclass
+
+MAX_IDLE_TAGS = 4096  # accounts whose last tag is kept before old ones are dropped
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A queued item.
+
+    Attributes
+    ----------
+    cost : float
+        Expected work, in tokens.
+    latest : float
+        Time after which the item is of no use if it has not begun.
+    """
+
+    name: str
+    account: str
+    weight: float
+    level: int
+    cost: float
+    latest: float
+    item: t.Any
+
+
+class FairQueue:
+    """Items by priority level, then by weighted fair share."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._first: list[tuple[int, float, int, str]] = []
+        self._last: list[tuple[int, float, int, str]] = []
+        self._expiry: list[tuple[float, int, str]] = []
+        self._numbers: dict[str, int] = {}
+        self._tags: dict[str, float] = {}
+        self._virtual = 0.0
+        self._count = 0
+        self._cost = 0.0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def cost(self) -> float:
+        """Expected work of all items, in tokens."""
+        return self._cost
+
+    def push(self, entry: Entry) -> None:
+        """Add an item."""
+        self._count += 1
+        number = self._count
+        tag = max(self._virtual, self._tags.get(entry.account, 0.0))
+        self._tags[entry.account] = tag + entry.cost / entry.weight
+        self._entries[entry.name] = entry
+        self._numbers[entry.name] = number
+        self._cost += entry.cost
+        heapq.heappush(self._first, (entry.level, tag, number, entry.name))
+        heapq.heappush(self._last, (-entry.level, -tag, -number, entry.name))
+        heapq.heappush(self._expiry, (entry.latest, number, entry.name))
+        self._drop_old_tags()
+
+    def charge(self, account: str, weight: float, cost: float) -> None:
+        """Count work of an account that did not have to wait."""
+        tag = max(self._virtual, self._tags.get(account, 0.0))
+        self._tags[account] = tag + cost / weight
+        self._drop_old_tags()
+
+    def pop_first(self) -> Entry | None:
+        """Take out the item that is served next."""
+        while self._first:
+            _, tag, number, name = heapq.heappop(self._first)
+            if self._numbers.get(name) != number:
+                continue
+            self._virtual = max(self._virtual, tag)
+            return self._remove(name)
+        return None
+
+    def pop_last(self) -> Entry | None:
+        """Take out the item that would be served last."""
+        while self._last:
+            _, _, number, name = heapq.heappop(self._last)
+            if self._numbers.get(name) != -number:
+                continue
+            return self._remove_unserved(name)
+        return None
+
+    def pop_expired(self, now: float) -> Entry | None:
+        """Take out an item that can't begin in time any more."""
+        while self._expiry and self._expiry[0][0] <= now:
+            _, number, name = heapq.heappop(self._expiry)
+            if self._numbers.get(name) == number:
+                return self._remove_unserved(name)
+        return None
+
+    def discard(self, name: str) -> Entry | None:
+        """Take out an item by name; None if it is not queued."""
+        if name not in self._entries:
+            return None
+        return self._remove_unserved(name)
+
+    def find_level(self) -> int | None:
+        """Return the priority level that is served next, or None if empty."""
+        while self._first and self._numbers.get(self._first[0][3]) != self._first[0][2]:
+            heapq.heappop(self._first)
+        return self._first[0][0] if self._first else None
+
+    def reset(self) -> None:
+        """Forget past work, once nothing has to wait any more."""
+        self._tags.clear()
+        self._virtual = 0.0
+
+    def _remove_unserved(self, name: str) -> Entry:
+        """Take out an item and give its account back what it was charged."""
+        entry = self._remove(name)
+        if entry.account in self._tags:
+            self._tags[entry.account] -= entry.cost / entry.weight
+        return entry
+
+    def _remove(self, name: str) -> Entry:
+        entry = self._entries.pop(name)
+        del self._numbers[name]
+        self._cost = self._cost - entry.cost if self._entries else 0.0
+        self._compact()
+        return entry
+
+    def _compact(self) -> None:
+        """Keep stale heap items to a fixed multiple of the live ones."""
+        limit = 4 * len(self._entries) + 64
+        live = self._numbers
+        if len(self._first) > limit:
+            self._first = [each for each in self._first if live.get(each[3]) == each[2]]
+            heapq.heapify(self._first)
+        if len(self._last) > limit:
+            self._last = [each for each in self._last if live.get(each[3]) == -each[2]]
+            heapq.heapify(self._last)
+        if len(self._expiry) > limit:
+            kept = [each for each in self._expiry if live.get(each[2]) == each[1]]
+            self._expiry = kept
+            heapq.heapify(self._expiry)
+
+    def _drop_old_tags(self) -> None:
+        if len(self._tags) <= MAX_IDLE_TAGS:
+            return
+        for account, tag in list(self._tags.items()):
+            if tag <= self._virtual:
+                del self._tags[account]
--- /dev/null
+++ b/src/tarragonrudder/core/slowness.py
@@ -0,0 +1,39 @@
+"""Engines and links that are slower than the configuration says.
+
+Only whole chains can be timed. A healthy part is soon seen in a fast chain,
+while a slow one makes all of its chains slow; so a part's estimate falls at
+once with a fast chain and rises slowly with slow ones.
+"""
+
+from tarragonrudder.core.chain import Chain
+
+FALL = 0.5  # weight of a chain that is faster than the estimate
+RISE = 0.05  # weight of a chain that is slower
+USUAL_SMOOTHING = 0.02  # weight of the newest chain in the usual gap
+TOLERANCE = 1.3  # ratio to the usual gap that is not held against a part
+MAX_PENALTY = 20.0
+
+
+class Slowness:
+    """Ratio of the token gap to the usual one, for each part of the chains."""
+
+    def __init__(self) -> None:
+        self._usual: dict[tuple[str, str], float] = {}
+        self._ratios: dict[str, float] = {}
+
+    def observe(self, chain: Chain, parts: list[str], gap: float) -> None:
+        """Take in the token gap of a chain made of these parts."""
+        key = (chain.model, chain.version)
+        usual = self._usual.get(key, gap)
+        ratio = gap / usual if usual > 0 else 1.0
+        # A few very slow chains must not move the usual gap.
+        self._usual[key] = usual + USUAL_SMOOTHING * (min(gap, 2.0 * usual) - usual)
+        for part in parts:
+            known = self._ratios.get(part, 1.0)
+            weight = FALL if ratio < known else RISE
+            self._ratios[part] = known + weight * (ratio - known)
+
+    def penalty(self, part: str) -> float:
+        """Return the factor by which a part's time is to be multiplied."""
+        ratio = self._ratios.get(part, 1.0)
+        return min(MAX_PENALTY, max(1.0, ratio / TOLERANCE))
