Measure the policy on a virtual clock, and even out the flow plan

Cause: the first plan was an arbitrary maximum flow: engines ran their segments at unequal rates, so a sampled chain had 7.8 stages where 4 to 5 suffice, and cross-site links filled up. Iterative proportional fitting evens the rates out, links are planned to 0.7 of their capacity where that is enough, and own crossings count in a chain's cost. Ruled out: weights on cross-site arcs alone (mean 7.8 stages stayed).

--- /dev/null
+++ b/benchmarks/baselines.py
@@ -0,0 +1,98 @@
+"""Other ways to choose a chain, to be compared with the flow plan."""
+
+import random
+
+from tarragonrudder.core.chain import Chain, Hop
+from tarragonrudder.core.cover import cover_layers
+from tarragonrudder.core.event import CacheChanged, LoadReported
+from tarragonrudder.core.fleet import Engine, LayerRange
+from tarragonrudder.core.plans import Plans
+from tarragonrudder.core.selection import Need, Selector
+
+
+class RandomSelector(Selector):
+    """At each stage, any engine that holds the next layer."""
+
+    def choose(self, need: Need, now: float) -> Chain | None:
+        """Return a chain, or None if there is none."""
+        self._now = now
+        excluded = need.excluded | need.avoided
+        hops: list[Hop] = []
+        layer = 0
+        while layer < need.model.layer_count:
+            usable = [
+                engine
+                for engine in self._plans.list_engines(need.model)
+                if engine.name not in excluded
+                and engine.layers.first <= layer <= engine.layers.last
+            ]
+            if not usable:
+                return None
+            engine = self._pick(usable)
+            last = engine.layers.last
+            hops.append(Hop(engine.name, engine.address, LayerRange(layer, last)))
+            layer = last + 1
+        return Chain(need.model.name, need.model.version, tuple(hops))
+
+    def merge_cache(self, event: CacheChanged, now: float) -> None:
+        """Ignore cache events."""
+
+    def _pick(self, engines: list[Engine]) -> Engine:
+        return self._random.choice(engines)
+
+
+class LeastLoadSelector(RandomSelector):
+    """At each stage, the engine whose last report names the least load."""
+
+    def __init__(
+        self, data_center: str, source: random.Random, plans: Plans | None = None
+    ) -> None:
+        super().__init__(data_center, source, plans)
+        self._reported: dict[str, int] = {}
+
+    def merge_load(self, event: LoadReported, now: float) -> None:
+        """Take the report as it is."""
+        super().merge_load(event, now)
+        self._reported[event.upstream] = event.running + event.queued
+
+    def _pick(self, engines: list[Engine]) -> Engine:
+        def rank(engine: Engine) -> tuple[float, float]:
+            reported = self._reported.get(engine.name, 0)
+            load = (reported + 1) / engine.layer_tokens_per_second
+            return (load, self._random.random())
+
+        return min(engines, key=rank)
+
+
+class ShortestSelector(RandomSelector):
+    """The chain with the fewest stages; among equals, any."""
+
+    def choose(self, need: Need, now: float) -> Chain | None:
+        """Return a chain, or None if there is none."""
+        self._now = now
+        excluded = need.excluded | need.avoided
+        usable = [
+            engine
+            for engine in self._plans.list_engines(need.model)
+            if engine.name not in excluded
+        ]
+        self._random.shuffle(usable)
+        whole = LayerRange(0, need.model.layer_count - 1)
+        hops = cover_layers(usable, whole, _count_stage, random.Random(0))
+        if not hops:
+            return None
+        return Chain(need.model.name, need.model.version, hops)
+
+
+class UncorrectedSelector(Selector):
+    """Draws from the flow plan but leaves out the own work in flight."""
+
+    def start(self, chain: Chain) -> None:
+        """Count nothing."""
+
+    def finish(self, chain: Chain) -> None:
+        """Count nothing."""
+
+
+def _count_stage(engine: Engine, layers: LayerRange) -> float:
+    return 0.0
--- /dev/null
+++ b/benchmarks/drive.py
@@ -0,0 +1,339 @@
+"""Drives the core of several nodes on a virtual clock, with fake callers."""
+
+import heapq
+import random
+import typing as t
+from dataclasses import dataclass, field
+
+from benchmarks.engines import STEP, EngineFleet, Progress, Stream
+from benchmarks.fleet import CENTERS, ROUTE, Site, list_shares
+from benchmarks.outcome import Outcome
+from tarragonrudder.core import action as actions
+from tarragonrudder.core import event as events
+from tarragonrudder.core.node import Node, NodeOptions
+from tarragonrudder.core.selection import Selector
+
+ENGINE_LATENCY = 0.0005  # seconds, one way, between a node and an engine
+PEER_LATENCY = 0.001  # seconds, one way, between nodes
+BREAK_SECONDS = 0.005  # until a node sees a broken stream
+REPORT_PERIOD = 0.5  # seconds between two reports of an engine to one node
+MAX_CACHE_EVENTS = 16  # that ride on one message
+LOST_CACHE_EVENTS = 0.05  # share of the events that are lost
+PROMPTS = 2000  # distinct prompts
+LENGTHS = (60, 180)  # tokens of an answer, least and most
+MAX_TOKENS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that is done to the run at a time."""
+
+    at: float
+    apply: t.Callable[["Run"], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """One run.
+
+    Attributes
+    ----------
+    load : callable
+        Offered work as a share of the bound, at a time.
+    node_shares, account_shares : tuple of float
+        How requests spread over nodes and accounts.
+    report_lag : float
+        Seconds by which load reports are late.
+    """
+
+    site: Site
+    seed: int
+    duration: float
+    load: t.Callable[[float], float]
+    selector: type[Selector] = Selector
+    node_shares: tuple[float, ...] = (1.0,) * 7
+    account_shares: tuple[float, ...] = tuple(list_shares())
+    report_lag: float = 0.1
+    faults: tuple[Fault, ...] = ()
+    prepare: t.Callable[[Node], None] | None = None
+
+
+@dataclass(slots=True)
+class _Place:
+    """A node and what belongs to it alone."""
+
+    node: Node
+    alive: bool = True
+    in_balancer: bool = True
+    timers: dict[str, int] = field(default_factory=dict)
+    reported_at: dict[str, float] = field(default_factory=dict)
+    cache_seen: dict[str, int] = field(default_factory=dict)
+
+
+class Run:
+    """One run of a setup; ``run`` returns what became of the requests."""
+
+    def __init__(self, setup: Setup) -> None:
+        self.setup = setup
+        self.now = 0.0
+        self.fleet = EngineFleet(setup.site.configuration)
+        self.outcomes: dict[str, Outcome] = {}
+        self.queue_ages: list[tuple[float, float]] = []
+        self.platform_up = True
+        self.places: dict[str, _Place] = {}
+        self._random = random.Random(setup.seed)
+        self._loss = random.Random(setup.seed + 1)
+        self._heap: list[tuple[float, int, t.Callable[..., None], t.Any]] = []
+        self._count = 0
+        self._waiting: dict[str, float] = {}
+        self._values: dict[str, tuple[bytes, int]] = {}
+        for index in range(len(setup.node_shares)):
+            self._add_node(index)
+
+    def run(self) -> list[Outcome]:
+        """Run to the end and return all outcomes, in order of arrival."""
+        for place in self.places.values():
+            self._start_node(place)
+        for fault in self.setup.faults:
+            self.schedule(fault.at, _call, fault.apply)
+        self._schedule_arrival()
+        self.schedule(STEP, self._step_engines, None)
+        while self._heap:
+            at, _, function, argument = heapq.heappop(self._heap)
+            if at > self.setup.duration:
+                break
+            self.now = at
+            function(self, argument) if function is _call else function(argument)
+        return list(self.outcomes.values())
+
+    def schedule(
+        self, at: float, function: t.Callable[..., None], argument: t.Any
+    ) -> None:
+        """Call a function with an argument at a time."""
+        self._count += 1
+        heapq.heappush(self._heap, (at, self._count, function, argument))
+
+    def post(self, name: str, event: events.Event) -> None:
+        """Give a node an event and carry out what it decides."""
+        place = self.places[name]
+        if place.alive:
+            self._carry_out(name, place.node.handle(event, self.now))
+
+    def kill_engines(self, names: t.Iterable[str]) -> None:
+        """End engines; their streams break."""
+        for name in names:
+            for stream in self.fleet.kill(name):
+                key = (stream.action.request, stream.action.attempt)
+                event = events.AttemptFailed(*key, events.Crashed(), name)
+                self.schedule(
+                    self.now + BREAK_SECONDS, self._post, (stream.node, event)
+                )
+
+    def kill_node(self, name: str, balancer_lag: float) -> None:
+        """End a node; the balancer sends it requests for a while longer."""
+        self.places[name].alive = False
+        for key, stream in list(self.fleet.streams.items()):
+            if stream.node == name:
+                self.fleet.cancel(*key)
+        for request in list(self._waiting):
+            if request.startswith(name + "|"):
+                del self._waiting[request]
+        self.schedule(self.now + balancer_lag, self._leave_balancer, name)
+
+    def list_nodes(self) -> tuple[events.NodeAddress, ...]:
+        """Return the live nodes."""
+        found = []
+        for index, (name, place) in enumerate(self.places.items()):
+            if place.alive:
+                found.append(events.NodeAddress(name, name, CENTERS[index % 3]))
+        return tuple(found)
+
+    def _add_node(self, index: int) -> None:
+        name = f"node-{index}"
+        center = CENTERS[index % 3]
+        source = random.Random(self.setup.seed * 1000 + index)
+        node = Node(NodeOptions(name, center), source, self.setup.selector)
+        if self.setup.prepare is not None:
+            self.setup.prepare(node)
+        self.places[name] = _Place(node)
+
+    def _start_node(self, place: _Place) -> None:
+        name = next(key for key, each in self.places.items() if each is place)
+        self._carry_out(name, place.node.start(0.0))
+        self.post(name, events.ConfigurationRead(self.setup.site.configuration))
+        self.post(name, events.NodesListed(self.list_nodes()))
+
+    def _leave_balancer(self, name: str) -> None:
+        self.places[name].in_balancer = False
+        listed = events.NodesListed(self.list_nodes())
+        for each in self.places:
+            self.post(each, listed)
+
+    def _schedule_arrival(self) -> None:
+        mean = (sum(LENGTHS) / 2.0) + 3.0
+        load = max(0.01, self.setup.load(self.now))
+        rate = load * self.setup.site.bound / mean
+        self.schedule(self.now + self._random.expovariate(rate), self._arrive, None)
+
+    def _arrive(self, _: None) -> None:
+        self._schedule_arrival()
+        setup = self.setup
+        names = list(self.places)
+        shares = [
+            share if self.places[name].in_balancer else 0.0
+            for name, share in zip(names, setup.node_shares, strict=True)
+        ]
+        name = self._random.choices(names, shares)[0]
+        account_shares = setup.account_shares
+        account = self._random.choices(range(len(account_shares)), account_shares)[0]
+        length = self._random.randint(*LENGTHS)
+        prompt = f"prompt-{int(PROMPTS * self._random.random() ** 2)}"
+        request = f"{name}|{len(self.outcomes)}"
+        deadline = setup.site.configuration.priorities[0].deadline
+        outcome = Outcome(f"account-{account}", self.now, length, self.now + deadline)
+        self.outcomes[request] = outcome
+        if not self.places[name].alive:
+            outcome.problem = "unreachable"
+            return
+        self._waiting[request] = self.now
+        chat = events.ChatRequested(
+            request, outcome.account, ROUTE, prompt.encode(), MAX_TOKENS, prompt
+        )
+        at = self.now + setup.site.client_latency
+        self.schedule(at, self._post, (name, chat))
+
+    def _step_engines(self, _: None) -> None:
+        for progress in self.fleet.step(self.now):
+            at = max(progress.at, self.now) + ENGINE_LATENCY
+            self.schedule(at, self._deliver, progress)
+        if int(self.now / STEP) % int(1.0 / STEP) == 0:
+            oldest = min(self._waiting.values(), default=self.now)
+            self.queue_ages.append((self.now, self.now - oldest))
+        self.schedule(self.now + STEP, self._step_engines, None)
+
+    def _deliver(self, progress: Progress) -> None:
+        """Pass a stream's message on, with the reports that ride on it."""
+        stream = progress.stream
+        key = (stream.action.request, stream.action.attempt)
+        self._deliver_reports(stream)
+        tokens = tuple(
+            events.Token(i, "x") for i in range(progress.first, progress.last)
+        )
+        self.post(stream.node, events.TokensArrived(*key, tokens))
+        if progress.ended:
+            self.post(stream.node, events.AttemptEnded(*key, stream.length, "stop"))
+
+    def _deliver_reports(self, stream: Stream) -> None:
+        place = self.places[stream.node]
+        for hop in stream.action.chain.hops:
+            name = hop.upstream
+            if self.now - place.reported_at.get(name, -1.0) < REPORT_PERIOD:
+                continue
+            place.reported_at[name] = self.now
+            report = self.fleet.read_report(name, self.now, self.setup.report_lag)
+            self.post(stream.node, events.LoadReported(name, *report))
+            self._deliver_cache_events(stream.node, name)
+
+    def _deliver_cache_events(self, node: str, engine: str) -> None:
+        seen = self.places[node].cache_seen
+        log = self.fleet.engines[engine].events
+        begin = max(seen.get(engine, 0), len(log) - MAX_CACHE_EVENTS)
+        for index in range(begin, len(log)):
+            if self._loss.random() < LOST_CACHE_EVENTS:
+                continue
+            prefix, held = log[index]
+            event = events.CacheChanged(engine, index + 1, prefix, held)
+            self.post(node, event)
+        seen[engine] = len(log)
+
+    def _post(self, target: tuple[str, events.Event]) -> None:
+        self.post(*target)
+
+    def _carry_out(self, name: str, decided: list[actions.Action]) -> None:
+        for action in decided:
+            self._carry_out_one(name, action)
+
+    def _carry_out_one(self, name: str, action: actions.Action) -> None:
+        match action:
+            case actions.StartAttempt():
+                self._waiting.pop(action.request, None)
+                outcome = self.outcomes[action.request]
+                outcome.begun = outcome.begun or self.now
+                at = self.now + ENGINE_LATENCY
+                self.schedule(at, self._submit, (name, action))
+            case actions.CancelAttempt():
+                self.fleet.cancel(action.request, action.attempt)
+            case actions.EmitTokens():
+                outcome = self.outcomes[action.request]
+                seen = self.now + self.setup.site.client_latency
+                outcome.first = outcome.first if outcome.first is not None else seen
+                outcome.last = seen
+            case actions.EndAnswer():
+                seen = self.now + self.setup.site.client_latency
+                self.outcomes[action.request].ended = seen
+            case actions.FailAnswer():
+                self._waiting.pop(action.request, None)
+                outcome = self.outcomes[action.request]
+                outcome.ended = self.now + self.setup.site.client_latency
+                outcome.problem = action.problem.kind
+            case actions.SetTimer():
+                self._count += 1
+                self.places[name].timers[action.timer] = self._count
+                due = (name, action.timer, self._count)
+                self.schedule(action.at, self._fire, due)
+            case actions.ClearTimer():
+                self.places[name].timers.pop(action.timer, None)
+            case actions.SendPeer():
+                event = events.PeerReached(name, action.message)
+                at = self.now + PEER_LATENCY
+                if action.node in self.places:
+                    self.schedule(at, self._post, (action.node, event))
+            case actions.ProbeUpstream():
+                alive = self.fleet.engines[action.upstream].alive
+                probed = events.UpstreamProbed(action.upstream, alive)
+                at = self.now + ENGINE_LATENCY
+                self.schedule(at, self._post, (name, probed))
+            case actions.ReadPlatform() | actions.SwapPlatform():
+                answer = self._call_platform(action)
+                self.schedule(self.now + 0.002, self._post, (name, answer))
+            case actions.GrantLease():
+                failed = events.PlatformFailed(action.tag, "")
+                self.schedule(self.now + 0.002, self._post, (name, failed))
+
+    def _call_platform(
+        self, action: actions.ReadPlatform | actions.SwapPlatform
+    ) -> events.Event:
+        if not self.platform_up:
+            return events.PlatformFailed(action.tag, action.key)
+        value, revision = self._values.get(action.key, (b"", 0))
+        if isinstance(action, actions.ReadPlatform):
+            found = value if revision else None
+            return events.PlatformValue(action.tag, action.key, found, revision)
+        if revision != action.expected:
+            return events.SwapConflicted(action.tag, action.key)
+        self._values[action.key] = (action.value, revision + 1)
+        return events.Swapped(action.tag, action.key, revision + 1)
+
+    def _submit(self, target: tuple[str, actions.StartAttempt]) -> None:
+        name, action = target
+        length = self.outcomes[action.request].length
+        dead = self.fleet.submit(name, action, length)
+        if dead is None:
+            return
+        failure: events.Failure = events.Crashed()
+        if dead == action.chain.hops[0].upstream:
+            failure = events.Unreachable()
+        event = events.AttemptFailed(action.request, action.attempt, failure, dead)
+        self.schedule(self.now + BREAK_SECONDS, self._post, (name, event))
+
+    def _fire(self, due: tuple[str, str, int]) -> None:
+        name, timer, number = due
+        place = self.places[name]
+        if place.timers.get(timer) != number:
+            return
+        del place.timers[timer]
+        self.post(name, events.TimerFired(timer))
+
+
+def _call(run: Run, function: t.Callable[[Run], None]) -> None:
+    function(run)
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,100 @@
+"""Fleets and client accounts of the sizes that the measurements use."""
+
+import random
+from dataclasses import dataclass
+
+from tarragonrudder.core.fleet import (
+    ClientAccount,
+    Configuration,
+    Engine,
+    LayerRange,
+    Link,
+    Model,
+    ModelRoute,
+    Priority,
+)
+from tarragonrudder.core.flow import compute_plan
+
+ROUTE = "assistant"
+CENTERS = ("north", "middle", "south")
+SPEEDS = {"a": 1600.0, "b": 2400.0, "c": 3600.0, "d": 6400.0}  # layer tokens/s
+LAYERS = 32
+DEADLINE = 12.0  # seconds
+LARGE_ACCOUNTS = 3
+ACCOUNTS = 10
+LARGE_SHARE = 0.24  # of all requests, for each large account
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """One deployment.
+
+    Attributes
+    ----------
+    client_latency : float
+        Seconds, one way.
+    """
+
+    name: str
+    configuration: Configuration
+    bound: float
+    client_latency: float
+
+
+def make_site(name: str, seed: int, client_latency: float, workers: int = 40) -> Site:
+    """Return a site of mixed accelerators whose ranges overlap."""
+    source = random.Random(seed)
+    model = Model("writer", "1", LAYERS, activation_bytes=8192)
+    engines = []
+    for index in range(workers):
+        kind = source.choice(list(SPEEDS))
+        first = 8 * (index % 4)
+        last = first + 7
+        if index % 5 == 4:
+            # Some hold more than a quarter or start between two quarters.
+            first = source.choice((0, 4, 8, 12, 16))
+            last = first + 15
+        engines.append(
+            Engine(
+                f"{name}-{index:02}",
+                f"http://{name}-{index:02}",
+                CENTERS[index % 3],
+                kind,
+                model.name,
+                model.version,
+                LayerRange(first, last),
+                SPEEDS[kind],
+                64,
+            )
+        )
+    links = (
+        Link("north", "middle", 0.0005, 2e8),
+        Link("middle", "south", 0.0005, 2e7),
+        Link("north", "south", 0.0005, 2e6),
+    )
+    configuration = Configuration(
+        generation=1,
+        digest=name,
+        models=(model,),
+        engines=tuple(engines),
+        links=links,
+        accounts=make_accounts(),
+        priorities=(Priority("normal", 1, DEADLINE),),
+        model_routes=(ModelRoute(ROUTE, model.name, model.version),),
+    )
+    bound = compute_plan(model, configuration.engines, links).bound
+    return Site(name, configuration, bound, client_latency)
+
+
+def make_accounts() -> tuple[ClientAccount, ...]:
+    """Return ten accounts of equal weight."""
+    accounts = []
+    for index in range(ACCOUNTS):
+        accounts.append(ClientAccount(f"account-{index}", (), 1e6, 1e6))
+    return tuple(accounts)
+
+
+def list_shares() -> list[float]:
+    """Return the accounts' usual shares of all requests."""
+    small = (1.0 - LARGE_ACCOUNTS * LARGE_SHARE) / (ACCOUNTS - LARGE_ACCOUNTS)
+    return [LARGE_SHARE] * LARGE_ACCOUNTS + [small] * (ACCOUNTS - LARGE_ACCOUNTS)
--- /dev/null
+++ b/benchmarks/outcome.py
@@ -0,0 +1,141 @@
+"""What became of the requests of one run, and the figures drawn from it."""
+
+from dataclasses import dataclass
+
+from benchmarks.engines import PREFILL_WORK
+
+SECONDS_PER_BIN = 2.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """One request, as its caller saw it.
+
+    Attributes
+    ----------
+    problem : str or None
+        Kind of the error that ended it.
+    """
+
+    account: str
+    arrived: float
+    length: int
+    deadline: float
+    begun: float | None = None
+    first: float | None = None
+    last: float | None = None
+    ended: float | None = None
+    problem: str | None = None
+
+    @property
+    def work(self) -> float:
+        """Its work in tokens, the prompt's included."""
+        return self.length + PREFILL_WORK
+
+    @property
+    def on_time(self) -> bool:
+        """Whether the whole answer came before the deadline."""
+        if self.ended is None or self.problem is not None:
+            return False
+        return self.ended <= self.deadline
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Figures of the requests that arrived in a span of time.
+
+    Attributes
+    ----------
+    share_of_bound : float
+        Work of the answers that came on time, per second, over the bound.
+    on_time, not_run : float
+        Shares of the requests: answered on time, refused without having run.
+    late : float
+        Share of the requests that ran and were not on time.
+    first_p50, first_p95, gap_p95 : float
+        Seconds to the first token and between tokens of an answer.
+    """
+
+    share_of_bound: float
+    on_time: float
+    late: float
+    not_run: float
+    first_p50: float
+    first_p95: float
+    gap_p95: float
+
+
+def measure(outcomes: list[Outcome], begin: float, end: float, bound: float) -> Figures:
+    """Work out the figures of the requests that arrived between two times."""
+    chosen = [each for each in outcomes if begin <= each.arrived < end]
+    done = [each for each in outcomes if each.on_time]
+    work = sum(each.work for each in done if begin <= (each.ended or 0.0) < end)
+    firsts = [e.first - e.arrived for e in chosen if e.first is not None]
+    gaps = []
+    for each in chosen:
+        if each.first is None or each.last is None or not each.on_time:
+            continue
+        gaps.append((each.last - each.first) / max(1, each.length - 1))
+    count = max(1, len(chosen))
+    on_time = sum(each.on_time for each in chosen)
+    not_run = sum(each.problem is not None and each.begun is None for each in chosen)
+    return Figures(
+        work / (bound * (end - begin)),
+        on_time / count,
+        (len(chosen) - on_time - not_run) / count,
+        not_run / count,
+        find_quantile(firsts, 0.5),
+        find_quantile(firsts, 0.95),
+        find_quantile(gaps, 0.95),
+    )
+
+
+def find_quantile(values: list[float], share: float) -> float:
+    """Return a quantile, or 0 where there are no values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def measure_share_over_time(
+    outcomes: list[Outcome], begin: float, end: float, capacity: float
+) -> list[tuple[float, float]]:
+    """Return (time, work on time over what can be carried) by arrival time.
+
+    Parameters
+    ----------
+    capacity : float
+        Tokens per second that the fleet can carry; where less is offered, the
+        offered work counts.
+    """
+    series = []
+    at = begin
+    while at + SECONDS_PER_BIN <= end:
+        chosen = [e for e in outcomes if at <= e.arrived < at + SECONDS_PER_BIN]
+        offered = sum(each.work for each in chosen)
+        done = sum(each.work for each in chosen if each.on_time)
+        possible = min(offered, capacity * SECONDS_PER_BIN)
+        series.append((at, done / possible if possible > 0.0 else 1.0))
+        at += SECONDS_PER_BIN
+    return series
+
+
+def find_recovery(
+    series: list[tuple[float, float]], fault: float, share: float = 0.95
+) -> float | None:
+    """Return the seconds after a fault from which on a share is kept.
+
+    Two bins are averaged, since what arrives in one alone varies. None means
+    that the share was not reached and kept to the end of the series.
+    """
+    recovered: float | None = None
+    for before, after in zip(series, series[1:], strict=False):
+        if after[0] + SECONDS_PER_BIN <= fault:
+            continue
+        kept = (before[1] + after[1]) / 2.0 >= share
+        if not kept:
+            recovered = None
+        elif recovered is None:
+            recovered = max(0.0, before[0] - fault)
+    return recovered
--- a/src/tarragonrudder/core/flow.py
+++ b/src/tarragonrudder/core/flow.py
@@ -11,12 +11,18 @@
 from dataclasses import dataclass
 
 import networkx as nx
+from networkx.algorithms.flow import dinitz
 
 from tarragonrudder.core.fleet import Engine, LayerRange, Link, Model
 
 UNIT = 1000  # flows are integers of a thousandth of a token (or layer) a second
 MAX_NEWTON_STEPS = 50
 UNLIMITED_RATE = 1e12  # tokens per second over a link that is not configured
+UNEVENNESS = (1.0, 1.2, 1.6, 2.5, 1e6)  # factors of an even share
+LINK_USE = 0.7  # share of a link's capacity that is planned, where that is enough
+ENOUGH = 0.995  # share of the bound at which a division is taken
+FITTING_STEPS = 300
+FITTING_ERROR = 0.005  # share by which a fitted sum may be off
 _SOURCE = "source"
 _SINK = "sink"
 
@@ -93,11 +99,8 @@
     rates = _link_rates(model, links)
     ceilings = _sum_ceilings(segments, own, floor)
     bound = min(compute_bound, _route(ceilings, rates, cheapest=False).rate)
-    shares = _scale(capacities, bound)
-    routing = _route_shared(_sum_by_center(shares), rates)
-    if routing.rate < 0.999 * bound:
-        # The spare speed of one data centre may stand in for a full link.
-        routing = _route_shared(_sum_by_center(capacities), rates)
+    reduced = {pair: LINK_USE * rate for pair, rate in rates.items()}
+    routing = _route_balanced(capacities, (reduced, rates), bound)
     shares = _fit(capacities, routing.through)
     planned = min(routing.rate, bound)
     return Plan(bound, planned, segments, shares, routing.crossings)
@@ -149,8 +152,8 @@
             bound = rate
         if rate <= 0.0:
             return 0.0, tuple(() for _ in segments)
-        for index in tight:
-            shares = network.read_shares(index)
+        divided = network.read_shares(tight, rate)
+        for index, shares in divided.items():
             for share in shares:
                 used = share.rate * len(segments[index])
                 left[share.engine.name] = max(0.0, left[share.engine.name] - used)
@@ -241,15 +244,85 @@
         _, self._flow = nx.maximum_flow(self._graph, _SOURCE, _SINK)
         return rate / UNIT, tight
 
-    def read_shares(self, index: int) -> tuple[Share, ...]:
-        """Return what each engine runs of a segment at the solved rate."""
-        shares = []
-        for name, engine in self._engines.items():
-            flow = self._flow.get(name, {}).get(index, 0)
-            if flow <= 0:
-                continue
-            shares.append(Share(engine, flow / UNIT / len(self._segments[index])))
-        return tuple(shares)
+    def read_shares(
+        self, indexes: frozenset[int], rate: float
+    ) -> dict[int, tuple[Share, ...]]:
+        """Return what each engine runs of the segments at the solved rate.
+
+        The flow is one of many. Iterative proportional fitting (Deming and
+        Stephan, 1940) moves it towards engines that run all of their segments
+        at one rate, so that tokens seldom change engines in mid-range.
+        """
+        flows = self._read_flows(indexes)
+        fitted = self._fit_rows(flows, rate)
+        if not self._is_allowed(fitted, flows):
+            fitted = flows
+        found: dict[int, tuple[Share, ...]] = {}
+        for index in indexes:
+            shares = []
+            for name, row in fitted.items():
+                if row.get(index, 0.0) > 0.0:
+                    speed = row[index] / len(self._segments[index])
+                    shares.append(Share(self._engines[name], speed))
+            found[index] = tuple(shares)
+        return found
+
+    def _read_flows(self, indexes: frozenset[int]) -> dict[str, dict[int, float]]:
+        flows: dict[str, dict[int, float]] = {}
+        for name in self._engines:
+            row = {}
+            for index, flow in self._flow.get(name, {}).items():
+                if index in indexes:
+                    row[index] = flow / UNIT
+            if sum(row.values()) > 0.0:
+                flows[name] = row
+        return flows
+
+    def _fit_rows(
+        self, flows: dict[str, dict[int, float]], rate: float
+    ) -> dict[str, dict[int, float]]:
+        """Return layer tokens per second with the sums of `flows`, evened out."""
+        sums = {name: sum(row.values()) for name, row in flows.items()}
+        fitted = {}
+        for name, row in flows.items():
+            length = sum(len(self._segments[index]) for index in row)
+            fitted[name] = {
+                index: sums[name] * len(self._segments[index]) / length for index in row
+            }
+        for _ in range(FITTING_STEPS):
+            totals: dict[int, float] = {}
+            for row in fitted.values():
+                for index, value in row.items():
+                    totals[index] = totals.get(index, 0.0) + value
+            factors = {}
+            for index, total in totals.items():
+                factors[index] = rate * len(self._segments[index]) / total
+            if all(abs(each - 1.0) < FITTING_ERROR / 10 for each in factors.values()):
+                break
+            for name, row in fitted.items():
+                scaled = {index: row[index] * factors[index] for index in row}
+                share = sums[name] / sum(scaled.values())
+                fitted[name] = {index: scaled[index] * share for index in row}
+        return fitted
+
+    def _is_allowed(
+        self,
+        fitted: dict[str, dict[int, float]],
+        flows: dict[str, dict[int, float]],
+    ) -> bool:
+        """Tell whether a fit keeps the batch limits and the segments' sums."""
+        totals: dict[int, list[float]] = {}
+        for name, row in fitted.items():
+            for index, value in row.items():
+                limit = self._graph[name][index]["capacity"] / UNIT
+                if value > limit * (1.0 + FITTING_ERROR):
+                    return False
+                pair = totals.setdefault(index, [0.0, 0.0])
+                pair[0] += value
+                pair[1] += flows[name][index]
+        return all(
+            abs(new - old) <= FITTING_ERROR * old for new, old in totals.values()
+        )
 
     def _set_demand(self, rate: float) -> int:
         for index in self._indexes:
@@ -305,6 +378,43 @@
     crossings: tuple[tuple[Crossing, ...], ...]
 
 
+def _route_balanced(
+    capacities: tuple[tuple[Share, ...], ...],
+    rate_sets: t.Sequence[dict[tuple[str, str], float]],
+    bound: float,
+) -> _Routing:
+    """Route the bound with engines of equal speed as equally busy as links allow.
+
+    Where a full link hinders an even division, spare speed elsewhere is drawn
+    on, little by little.
+    """
+    evenly = _scale(capacities, bound)
+    for rates in rate_sets:
+        for allowance in UNEVENNESS:
+            supplies = _sum_by_center(_allow(evenly, capacities, allowance))
+            if _route(supplies, rates, cheapest=False).rate < ENOUGH * bound:
+                continue
+            routing = _route_shared(supplies, rates)
+            if routing.rate >= ENOUGH * bound:
+                return routing
+    return _route_shared(_sum_by_center(capacities), rate_sets[-1])
+
+
+def _allow(
+    evenly: tuple[tuple[Share, ...], ...],
+    capacities: tuple[tuple[Share, ...], ...],
+    allowance: float,
+) -> tuple[tuple[Share, ...], ...]:
+    """Return even shares that may grow by a factor, up to what each can do."""
+    allowed = []
+    for even, whole in zip(evenly, capacities, strict=True):
+        shares = []
+        for one, other in zip(even, whole, strict=True):
+            shares.append(Share(one.engine, min(one.rate * allowance, other.rate)))
+        allowed.append(tuple(shares))
+    return tuple(allowed)
+
+
 def _route_shared(
     supplies: list[dict[str, float]], rates: dict[tuple[str, str], float]
 ) -> _Routing:
@@ -359,7 +469,7 @@
     if cheapest:
         flow = nx.max_flow_min_cost(graph, _SOURCE, _SINK)
     else:
-        _, flow = nx.maximum_flow(graph, _SOURCE, _SINK)
+        _, flow = nx.maximum_flow(graph, _SOURCE, _SINK, flow_func=dinitz)
     through = []
     boundaries = []
     for index, supply in enumerate(supplies):
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -73,7 +73,12 @@
 class Node:
     """The decisions of one node; the driver translates its actions."""
 
-    def __init__(self, options: NodeOptions, source: random.Random) -> None:
+    def __init__(
+        self,
+        options: NodeOptions,
+        source: random.Random,
+        make_selector: t.Callable[..., Selector] = Selector,
+    ) -> None:
         self._options = options
         self._stop_at: float | None = None
         self._chats: dict[str, ChatRequested] = {}
@@ -81,7 +86,7 @@
         self.adoption = Adoption()
         self.membership = Membership(options.name)
         plans = Plans()
-        self.selector = Selector(options.data_center, source, plans)
+        self.selector = make_selector(options.data_center, source, plans)
         self.limits = Limits(options.name)
         self.admission = Admission(plans)
         self.pace = Pace()
@@ -169,6 +174,7 @@
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes)
                 self.admission.set_node_count(len(event.nodes))
+                self.selector.set_node_count(len(event.nodes))
             case ConfigurationRead():
                 return self._adopt(event.configuration)
             case PeerReached():
--- a/src/tarragonrudder/core/sampler.py
+++ b/src/tarragonrudder/core/sampler.py
@@ -43,12 +43,17 @@
             self._rates.append({each.engine.name: each.rate for each in shares})
             for share in shares:
                 self._engines[share.engine.name] = share.engine
+        self._mean_layers = self._compute_mean_layers()
         self._first = _Choice(self._rates[0]) if self._rates else _Choice({})
         self._entries: list[dict[str, _Choice]] = []
         self._centers: list[dict[str, _Choice]] = []
         for index in range(1, len(plan.segments)):
             self._prepare(index)
 
+    def find_mean_layers(self, engine: str) -> float:
+        """Return how many of its layers an engine runs for a token, by the plan."""
+        return self._mean_layers.get(engine, 0.0)
+
     def draw(self, source: random.Random) -> tuple[Hop, ...]:
         """Return a random chain's hops; empty if the plan has none."""
         name = self._first.draw(source)
@@ -68,6 +73,15 @@
         hops.append(self._make_hop(name, begin, len(segments) - 1))
         return tuple(hops)
 
+    def _compute_mean_layers(self) -> dict[str, float]:
+        work: dict[str, float] = {}
+        most: dict[str, float] = {}
+        for segment, rates in zip(self.plan.segments, self._rates, strict=True):
+            for name, rate in rates.items():
+                work[name] = work.get(name, 0.0) + rate * len(segment)
+                most[name] = max(most.get(name, 0.0), rate)
+        return {name: work[name] / most[name] for name in work if most[name] > 0.0}
+
     def _prepare(self, index: int) -> None:
         """Work out what enters a segment from other engines."""
         before, here = self._rates[index - 1], self._rates[index]
--- a/src/tarragonrudder/core/selection.py
+++ b/src/tarragonrudder/core/selection.py
@@ -7,7 +7,7 @@
 from tarragonrudder.core.chain import Chain, Hop
 from tarragonrudder.core.cover import cover_layers
 from tarragonrudder.core.event import CacheChanged, LoadReported
-from tarragonrudder.core.fleet import Configuration, Engine, LayerRange, Model
+from tarragonrudder.core.fleet import Configuration, Engine, LayerRange, Link, Model
 from tarragonrudder.core.load import Load
 from tarragonrudder.core.plans import Plans
 from tarragonrudder.core.prefix import Prefixes
@@ -54,21 +54,28 @@
         self._random = source
         self._plans = plans if plans is not None else Plans()
         self._engines: dict[str, Engine] = {}
-        self._latencies: dict[frozenset[str], float] = {}
+        self._links: dict[str, Link] = {}
+        self._node_count = 1
         self._samplers: dict[int, Sampler] = {}
         self._load = Load()
         self._prefixes = Prefixes()
         self._slowness = Slowness()
+        self._mean_layers: dict[str, float] = {}
         self._now = 0.0
 
     def configure(self, configuration: Configuration) -> None:
         """Take a new configuration into use."""
         self._plans.configure(configuration)
         self._engines = {engine.name: engine for engine in configuration.engines}
-        self._latencies = {}
+        self._links = {}
         for link in configuration.links:
-            self._latencies[frozenset((link.source, link.target))] = link.latency
+            self._links["-".join(sorted((link.source, link.target)))] = link
         self._samplers.clear()
+        self._mean_layers.clear()
+
+    def set_node_count(self, count: int) -> None:
+        """Set the number of live nodes, which share the links."""
+        self._node_count = max(1, count)
 
     def choose(self, need: Need, now: float) -> Chain | None:
         """Return a chain that covers all layers, or None if there is none.
@@ -89,11 +96,15 @@
         """Count an attempt that begins on a chain."""
         for hop in chain.hops:
             self._load.start(hop.upstream, len(hop.layers), self._now)
+        for link in self._list_links(chain):
+            self._load.start(link, 1, self._now)
 
     def finish(self, chain: Chain) -> None:
         """Count an attempt that ended on a chain."""
         for hop in chain.hops:
             self._load.finish(hop.upstream, len(hop.layers), self._now)
+        for link in self._list_links(chain):
+            self._load.finish(link, 1, self._now)
 
     def merge_load(self, event: LoadReported, now: float) -> None:
         """Take in an engine's load report."""
@@ -107,11 +118,7 @@
     def observe_gap(self, chain: Chain, gap: float, now: float) -> None:
         """Take in the seconds between two tokens of an attempt on a chain."""
         self._now = now
-        parts = list(chain.upstreams)
-        for before, after in zip(chain.hops, chain.hops[1:], strict=False):
-            link = self._name_link(before.upstream, after.upstream)
-            if link is not None:
-                parts.append(link)
+        parts = [*chain.upstreams, *self._list_links(chain)]
         self._slowness.observe(chain, parts, gap)
 
     def describe(self, chain: Chain, prefix: str = "") -> dict[str, t.Any]:
@@ -120,7 +127,7 @@
         others = [self._load.others(name, self._now) for name in chain.upstreams]
         cached = [n for n in chain.upstreams if self._prefixes.holds(n, prefix)]
         return {
-            "expected_cost_ms": round(1e3 * self._measure(chain.hops, prefix), 3),
+            "links": self._list_links(chain),
             "own_in_flight": own,
             "others_in_flight": [round(each, 1) for each in others],
             "cached_on": cached,
@@ -129,20 +136,14 @@
     def _choose_hops(self, need: Need, excluded: frozenset[str]) -> tuple[Hop, ...]:
         if need.keep is not None:
             return self._repair(need, need.keep, excluded)
-        plan = self._plans.find(need.model, excluded, self._now)
-        sampler = self._samplers.get(id(plan))
-        if sampler is None or sampler.plan is not plan:
-            if len(self._samplers) >= MAX_SAMPLERS:
-                self._samplers.clear()
-            sampler = Sampler(plan)
-            self._samplers[id(plan)] = sampler
+        sampler = self._find_sampler(need.model, excluded)
         best: tuple[Hop, ...] = ()
         best_cost = 0.0
         for _ in range(CANDIDATES):
             hops = sampler.draw(self._random)
             if not hops or any(hop.upstream in excluded for hop in hops):
                 continue
-            cost = self._measure(hops, need.prefix)
+            cost = self._measure(hops, need.prefix, need.model.activation_bytes)
             if not best or cost < best_cost:
                 best, best_cost = hops, cost
         if best:
@@ -150,6 +151,21 @@
         whole = LayerRange(0, need.model.layer_count - 1)
         return self._cover(need.model, whole, excluded)
 
+    def _find_sampler(self, model: Model, excluded: frozenset[str]) -> Sampler:
+        plan = self._plans.find(model, excluded, self._now)
+        sampler = self._samplers.get(id(plan))
+        if sampler is not None and sampler.plan is plan:
+            return sampler
+        if len(self._samplers) >= MAX_SAMPLERS:
+            self._samplers.clear()
+        sampler = Sampler(plan)
+        self._samplers[id(plan)] = sampler
+        for engine in self._plans.list_engines(model):
+            mean = sampler.find_mean_layers(engine.name)
+            if mean > 0.0:
+                self._mean_layers[engine.name] = mean
+        return sampler
+
     def _repair(
         self, need: Need, keep: Chain, excluded: frozenset[str]
     ) -> tuple[Hop, ...]:
@@ -187,7 +203,9 @@
         ]
         return cover_layers(engines, layers, self._measure_stage, self._random)
 
-    def _measure(self, hops: tuple[Hop, ...], prefix: str) -> float:
+    def _measure(
+        self, hops: tuple[Hop, ...], prefix: str, bytes_per_token: int
+    ) -> float:
         """Return the expected seconds of a token, the slowest stage weighing more."""
         total = 0.0
         slowest = 0.0
@@ -196,8 +214,9 @@
         before = ""
         for hop in hops:
             stage = self._measure_stage(self._engines[hop.upstream], hop.layers)
-            slowest = max(slowest, stage)
-            total += stage + self._measure_link(before, hop.upstream)
+            link = self._measure_link(before, hop.upstream, bytes_per_token)
+            slowest = max(slowest, stage, link)
+            total += stage + link
             before = hop.upstream
             layers += len(hop.layers)
             if self._prefixes.holds(hop.upstream, prefix):
@@ -208,25 +227,35 @@
     def _measure_stage(self, engine: Engine, layers: LayerRange) -> float:
         """Return the seconds in which all answers in flight get one token."""
         name = engine.name
-        others = self._load.others(name, self._now) * len(engine.layers)
+        usual = self._mean_layers.get(name, float(len(engine.layers)))
+        others = self._load.others(name, self._now) * usual
         work = self._load.own_layers(name) + others + len(layers)
         seconds = work / engine.layer_tokens_per_second
         return seconds * self._slowness.penalty(name)
 
-    def _measure_link(self, before: str, after: str) -> float:
-        if not before:
+    def _measure_link(self, before: str, after: str, bytes_per_token: int) -> float:
+        """Return the seconds that a token takes from one stage to the next."""
+        name = self._name_link(before, after)
+        if name is None:
             return 0.0
-        link = self._name_link(before, after)
+        link = self._links.get(name)
         if link is None:
-            return 0.0
-        source = self._engines[before].data_center
-        target = self._engines[after].data_center
-        latency = self._latencies.get(frozenset((source, target)), DEFAULT_LATENCY)
-        # A slow link delays each token about as much as a slow stage does.
-        penalty = self._slowness.penalty(link)
-        return latency * penalty + DEFAULT_LATENCY * 10 * (penalty - 1.0)
+            return DEFAULT_LATENCY
+        # No one reports on links: the other nodes are taken to do as this one.
+        crossing = self._load.own(name) * self._node_count + 1
+        transfer = crossing * bytes_per_token / link.bytes_per_second
+        return (link.latency + transfer) * self._slowness.penalty(name)
+
+    def _list_links(self, chain: Chain) -> list[str]:
+        found = []
+        for before, after in zip(chain.hops, chain.hops[1:], strict=False):
+            link = self._name_link(before.upstream, after.upstream)
+            if link is not None:
+                found.append(link)
+        return found
 
     def _name_link(self, before: str, after: str) -> str | None:
+        """Return the name of the link between two stages, None within one place."""
         one, other = self._engines.get(before), self._engines.get(after)
         if one is None or other is None or one.data_center == other.data_center:
             return None
