--- a/src/tarragonrudder/core/admission.py
+++ b/src/tarragonrudder/core/admission.py
@@ -12,7 +12,7 @@
 
 MAX_QUEUED = 1024  # requests of one model that a node holds
 MIN_WAIT = 0.1  # seconds that a request may always wait
-OVERDRAFT = 1.25  # running answers over the window, for accounts under their share
+OVERDRAFT = 1.5  # running answers over the window, for accounts under their share
 MIN_RETRY_AFTER = 0.2  # seconds
 MAX_RETRY_AFTER = 60.0  # seconds
 LENGTH_SMOOTHING = 0.05  # weight of the newest answer's length
--- a/src/tarragonrudder/core/window.py
+++ b/src/tarragonrudder/core/window.py
@@ -18,7 +18,6 @@
 MAX_WINDOW = 4096.0  # answers
 SMOOTHING = 0.5  # weight of the newest period
 USED_SHARE = 0.9  # share of the window in use from which on it grows
-LEAST_GAP_GROWTH = 1.002  # per period, so that the least gap seen is forgotten
 
 
 class Window:
@@ -73,8 +72,10 @@
         self._close_period()
         pressure = self._measure_pressure()
         if pressure > 1.0:
+            # Answers that run on end only later: the size is set against them,
+            # so that it does not fall anew for the same excess.
             factor = max(MAX_DECREASE, 1.0 / pressure)
-            self._size = max(MIN_WINDOW, min(self._size, running + 1.0) * factor)
+            self._size = max(MIN_WINDOW, min(self._size, running * factor))
         elif running >= USED_SHARE * self._size:
             self._size = min(MAX_WINDOW, self._size + INCREASE)
 
@@ -83,7 +84,10 @@
             gap = self._gap_seconds / self._gap_tokens
             self._gap = _smooth(self._gap, gap)
             least = self._least_gap if self._least_gap is not None else gap
-            self._least_gap = min(gap, least * LEAST_GAP_GROWTH)
+            # Only a nearly closed window shows anew how slow chains are at rest:
+            # under load the least gap would creep up with the load itself.
+            closed = self._size <= MIN_WINDOW
+            self._least_gap = self._gap if closed else min(gap, least)
         if self._first_count:
             first = self._first_seconds / self._first_count
             self._first = _smooth(self._first, first)
