--- /dev/null
+++ b/benchmarks/order.py
@@ -0,0 +1,185 @@
+"""Arrival order at each stage against first in, first out, at the tail.
+
+Jobs pass through the same number of stages several times over (once for each
+token), each stage serving one batch after another. A stage takes either those
+that came to it first, or those whose request came to the system first (Jo et
+al., "Request-aware Cooperative I/O Scheduling for Scale-out Database
+Applications"). Runs on a virtual clock.
+"""
+
+import heapq
+import random
+from dataclasses import dataclass
+
+from benchmarks.outcome import find_quantile
+
+STAGES = 4
+ENGINES_PER_STAGE = 4
+STEP_SECONDS = 0.008  # of one batch
+BATCH = 4  # answers that one batch advances by a token
+LENGTHS = (4, 80)  # tokens, least and most
+DURATION = 40.0  # seconds
+LOADS = (0.6, 0.8, 0.9, 0.95, 1.1)
+SEEDS = (1, 2)
+DEADLINE_FACTOR = 0.06  # seconds for each token within which an answer is on time
+
+
+@dataclass(slots=True)
+class Job:
+    """One answer on its way.
+
+    Attributes
+    ----------
+    route : list of int
+        Its engine in each stage.
+    """
+
+    number: int
+    arrived: float
+    tokens: int
+    route: list[int]
+    left: int
+    stage: int = 0
+    first: float | None = None
+    ended: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFigures:
+    """Times of one order at one load, in seconds."""
+
+    load: float
+    order: str
+    first_p95: float
+    first_p99: float
+    gap_p50: float
+    gap_p95: float
+    gap_p99: float
+    whole_p95: float
+    whole_p99: float
+    on_time: float
+
+
+def measure_orders() -> list[OrderFigures]:
+    """Measure both orders at all loads, with the same requests."""
+    found = []
+    for load in LOADS:
+        for order in ("first in, first out", "arrival order"):
+            jobs: list[Job] = []
+            for seed in SEEDS:
+                jobs.extend(_simulate(load, order, seed))
+            found.append(_summarize(load, order, jobs))
+    return found
+
+
+def format_table(figures: list[OrderFigures]) -> str:
+    """Return the figures as a Markdown table."""
+    lines = [
+        "| load | order at each stage | first token p95 | p99 "
+        "| time per token p50 | p95 | p99 | whole answer p95 | p99 | on time |",
+        "|---:|---|---:|---:|---:|---:|---:|---:|---:|---:|",
+    ]
+    for each in figures:
+        lines.append(
+            f"| {each.load:.2f} | {each.order} | {each.first_p95:.2f} s "
+            f"| {each.first_p99:.2f} s | {each.gap_p50 * 1e3:.0f} ms "
+            f"| {each.gap_p95 * 1e3:.0f} ms | {each.gap_p99 * 1e3:.0f} ms "
+            f"| {each.whole_p95:.2f} s | {each.whole_p99:.2f} s "
+            f"| {each.on_time:.3f} |"
+        )
+    return "\n".join(lines)
+
+
+def _summarize(load: float, order: str, jobs: list[Job]) -> OrderFigures:
+    firsts = [job.first - job.arrived for job in jobs if job.first is not None]
+    gaps = [
+        (job.ended - job.arrived) / job.tokens for job in jobs if job.ended is not None
+    ]
+    wholes = [job.ended - job.arrived for job in jobs if job.ended is not None]
+    on_time = sum(each <= DEADLINE_FACTOR for each in gaps) / max(1, len(jobs))
+    return OrderFigures(
+        load,
+        order,
+        find_quantile(firsts, 0.95),
+        find_quantile(firsts, 0.99),
+        find_quantile(gaps, 0.5),
+        find_quantile(gaps, 0.95),
+        find_quantile(gaps, 0.99),
+        find_quantile(wholes, 0.95),
+        find_quantile(wholes, 0.99),
+        on_time,
+    )
+
+
+class _Engine:
+    """Serves batches from a queue ordered by a key."""
+
+    def __init__(self) -> None:
+        self.queue: list[tuple[int, int, Job]] = []
+        self.busy = False
+
+
+def _simulate(load: float, order: str, seed: int) -> list[Job]:
+    source = random.Random(seed)
+    rate = load * ENGINES_PER_STAGE * BATCH / STEP_SECONDS / (sum(LENGTHS) / 2)
+    engines = [[_Engine() for _ in range(ENGINES_PER_STAGE)] for _ in range(STAGES)]
+    jobs: list[Job] = []
+    heap: list[tuple[float, int, str, object]] = []
+    at = 0.0
+    while at < DURATION:
+        at += source.expovariate(rate)
+        route = [source.randrange(ENGINES_PER_STAGE) for _ in range(STAGES)]
+        tokens = source.randint(*LENGTHS)
+        job = Job(len(jobs), at, tokens, route, tokens)
+        jobs.append(job)
+        heap.append((at, job.number, "arrive", job))
+    heapq.heapify(heap)
+    count = len(jobs)
+
+    def enter(job: Job, now: float) -> None:
+        nonlocal count
+        engine = engines[job.stage][job.route[job.stage]]
+        count += 1
+        key = job.number if order == "arrival order" else count
+        heapq.heappush(engine.queue, (key, count, job))
+        if not engine.busy:
+            begin(engine, now)
+
+    def begin(engine: _Engine, now: float) -> None:
+        nonlocal count
+        batch = []
+        while engine.queue and len(batch) < BATCH:
+            batch.append(heapq.heappop(engine.queue)[2])
+        engine.busy = bool(batch)
+        if batch:
+            count += 1
+            heapq.heappush(heap, (now + STEP_SECONDS, count, "done", (engine, batch)))
+
+    while heap:
+        now, _, kind, subject = heapq.heappop(heap)
+        if now > DURATION + 10.0:
+            break
+        if kind == "arrive":
+            enter(subject, now)
+            continue
+        engine, batch = subject
+        for job in batch:
+            _advance(job, now)
+            if job.left > 0:
+                enter(job, now)
+        engine.busy = False
+        begin(engine, now)
+    return [job for job in jobs if job.arrived >= 5.0]
+
+
+def _advance(job: Job, now: float) -> None:
+    """Move a job to its next stage, or on to its next token."""
+    job.stage += 1
+    if job.stage < STAGES:
+        return
+    job.stage = 0
+    job.left -= 1
+    if job.first is None:
+        job.first = now
+    if job.left == 0:
+        job.ended = now
--- /dev/null
+++ b/benchmarks/recovery_time.py
@@ -0,0 +1,113 @@
+"""Time from a fault until answers are on time again."""
+
+import typing as t
+from dataclasses import dataclass
+
+from benchmarks.drive import Fault, Run, Setup
+from benchmarks.fleet import Site
+from benchmarks.outcome import (
+    Figures,
+    find_recovery,
+    measure,
+    measure_share_over_time,
+)
+from benchmarks.scenarios import (
+    SEED,
+    bound_without,
+    find_busiest,
+    list_center,
+    pick_vm,
+)
+
+FAULT_AT = 15.0  # seconds
+DURATION = 60.0  # seconds
+TAIL = 12.0  # seconds at the end whose arrivals may not have ended
+LOAD = 0.8  # of the whole fleet's bound
+NODE_LAG = 2.0  # seconds until the balancer leaves a dead node out
+OUTAGE = 600.0  # seconds for which the platform is down
+
+
+@dataclass(frozen=True, slots=True)
+class Recovery:
+    """One fault's outcome.
+
+    Attributes
+    ----------
+    seconds : float or None
+        None if 95% were not reached and kept.
+    series : list of tuple
+        (time, share of what can be carried that is on time).
+    queue_ages : list of tuple
+        (time, age of the oldest waiting request in seconds).
+    """
+
+    name: str
+    bound_left: float
+    seconds: float | None
+    figures: Figures
+    series: list[tuple[float, float]]
+    queue_ages: list[tuple[float, float]]
+
+
+def measure_recoveries(site: Site) -> list[Recovery]:
+    """Run every fault and return what came of it."""
+    stage = [find_busiest(site)]
+    vm = pick_vm(site)
+    center = list_center(site, "middle")
+    return [
+        _measure(site, "stage lost", stage),
+        _measure(site, "VM lost (two engines)", vm),
+        _measure(site, "data centre lost", center),
+        _measure_node(site),
+        _measure_outage(site),
+    ]
+
+
+def _measure(site: Site, name: str, engines: list[str]) -> Recovery:
+    fault = Fault(FAULT_AT, lambda run: run.kill_engines(engines))
+    left = bound_without(site, engines)
+    return _run(site, name, (fault,), left, DURATION, LOAD)
+
+
+def _measure_node(site: Site) -> Recovery:
+    fault = Fault(FAULT_AT, lambda run: run.kill_node("node-3", NODE_LAG))
+    return _run(site, "node lost", (fault,), site.bound, DURATION, LOAD)
+
+
+def _measure_outage(site: Site) -> Recovery:
+    """Take the platform away for ten minutes, at a tenth of the load."""
+
+    def stop(run: Run) -> None:
+        run.platform_up = False
+
+    def resume(run: Run) -> None:
+        run.platform_up = True
+
+    faults = (Fault(FAULT_AT, stop), Fault(FAULT_AT + OUTAGE, resume))
+    duration = DURATION + OUTAGE
+    begin = FAULT_AT + OUTAGE
+    return _run(site, "platform back", faults, site.bound, duration, 0.1, begin)
+
+
+def _run(
+    site: Site,
+    name: str,
+    faults: t.Sequence[Fault],
+    left: float,
+    duration: float,
+    load: float,
+    begin: float = FAULT_AT,
+) -> Recovery:
+    setup = Setup(site, SEED, duration, lambda now: load, faults=tuple(faults))
+    run = Run(setup)
+    outcomes = run.run()
+    end = duration - TAIL
+    series = measure_share_over_time(outcomes, begin - 6.0, end, left)
+    return Recovery(
+        name,
+        left,
+        find_recovery(series, begin),
+        measure(outcomes, begin, end, site.bound),
+        series,
+        [each for each in run.queue_ages if begin - 6.0 <= each[0] < end],
+    )
--- /dev/null
+++ b/benchmarks/scenarios.py
@@ -0,0 +1,111 @@
+"""The loads and faults under which the policy is measured."""
+
+import random
+import typing as t
+from dataclasses import dataclass, replace
+
+from benchmarks.baselines import (
+    LeastLoadSelector,
+    RandomSelector,
+    ShortestSelector,
+    UncorrectedSelector,
+)
+from benchmarks.drive import Fault, Run, Setup
+from benchmarks.fleet import CENTERS, Site
+from tarragonrudder.core.flow import compute_plan
+from tarragonrudder.core.selection import Selector
+
+DURATION = 40.0  # seconds of one run
+WARM_UP = 8.0  # seconds that are not measured
+TAIL = 12.0  # seconds at the end whose arrivals may not have ended
+FAULT_AT = 14.0  # seconds
+SEED = 7
+SKEWED = (6.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0)  # one node sees half of the requests
+FEW_LARGE = (0.45, 0.45) + (0.1 / 8,) * 8
+
+POLICIES: dict[str, type[Selector]] = {
+    "flow plan": Selector,
+    "no own count": UncorrectedSelector,
+    "least load": LeastLoadSelector,
+    "random": RandomSelector,
+    "shortest": ShortestSelector,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A named setup; `offered` is its load as a share of the bound."""
+
+    name: str
+    site: Site
+    setup: Setup
+    offered: float
+
+
+def list_scenarios(today: Site, league: Site) -> list[Scenario]:
+    """Return all scenarios with seeds fixed."""
+    steady = _make(today, 0.8)
+    found = [
+        Scenario("steady 0.8", today, steady, 0.8),
+        Scenario("step to 1.3", league, replace(_make(league, 1.3), load=_step), 1.3),
+    ]
+    few = replace(_make(today, 1.1), account_shares=FEW_LARGE)
+    found.append(Scenario("few large accounts 1.1", today, few, 1.1))
+    lost = Fault(FAULT_AT, lambda run: run.kill_engines([find_busiest(today)]))
+    found.append(
+        Scenario("stage lost 0.8", today, replace(steady, faults=(lost,)), 0.8)
+    )
+    slow = Fault(FAULT_AT, lambda run: run.fleet.degrade("middle", "south", 10.0))
+    found.append(
+        Scenario("link tenfold slower 0.8", today, replace(steady, faults=(slow,)), 0.8)
+    )
+    late = replace(_make(today, 1.0), report_lag=1.0)
+    found.append(Scenario("reports 1 s late 1.0", today, late, 1.0))
+    down = Fault(FAULT_AT, _stop_platform)
+    found.append(
+        Scenario("platform down 0.8", today, replace(steady, faults=(down,)), 0.8)
+    )
+    skewed = replace(_make(today, 1.0), node_shares=SKEWED)
+    found.append(Scenario("one node sees half 1.0", today, skewed, 1.0))
+    return found
+
+
+def find_busiest(site: Site) -> str:
+    """Return the engine that carries the most tokens of the plan's first segment."""
+    configuration = site.configuration
+    plan = compute_plan(
+        configuration.models[0], configuration.engines, configuration.links
+    )
+    best = max(plan.shares[0], key=lambda share: share.rate)
+    return best.engine.name
+
+
+def bound_without(site: Site, names: t.Collection[str]) -> float:
+    """Return the bound of a site without some engines."""
+    configuration = site.configuration
+    left = [each for each in configuration.engines if each.name not in names]
+    return compute_plan(configuration.models[0], left, configuration.links).bound
+
+
+def list_center(site: Site, center: str) -> list[str]:
+    """Return the engines of a data centre."""
+    engines = site.configuration.engines
+    return [each.name for each in engines if each.data_center == center]
+
+
+def pick_vm(site: Site) -> list[str]:
+    """Return the two engines that one VM holds in the VM fault."""
+    names = list_center(site, CENTERS[0])
+    return sorted(random.Random(SEED).sample(names, 2))
+
+
+def _make(site: Site, load: float) -> Setup:
+    return Setup(site, SEED, DURATION, lambda now: load)
+
+
+def _step(now: float) -> float:
+    return 0.6 if now < WARM_UP / 2 else 1.3
+
+
+def _stop_platform(run: Run) -> None:
+    run.platform_up = False
