--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -41,12 +41,15 @@
         Number of writes that take effect while their answer is lost.
     watch_lag : float
         Seconds by which watches lag.
+    answer_delay : float
+        Seconds between a transaction's effect and its answer.
     """
 
     down: bool = False
     delay: float = 0.0
     lose_writes: int = 0
     watch_lag: float = 0.0
+    answer_delay: float = 0.0
 
 
 @dataclass(slots=True)
@@ -164,6 +167,7 @@
                     return Response("requested lease not found", status=400)
                 store.put(put["key"], put["value"], lease)
         await lose_answer()
+        await trio.sleep(store.faults.answer_delay)
         return respond({"header": header(), "succeeded": matched})
 
     @app.post("/v3/lease/grant")
@@ -237,9 +241,13 @@
 
     @app.get("/counts")
     async def report_counts() -> Response:
-        return respond(
-            {"reads": store.reads, "writes": store.writes, "watches": store.watches}
-        )
+        counts = {
+            "reads": store.reads,
+            "writes": store.writes,
+            "watches": store.watches,
+            "revision": store.revision,
+        }
+        return respond(counts)
 
     return app
 
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -1,11 +1,13 @@
 """Stand-in of a plain service: it runs every call that it gets.
 
 Run it with ``python -m tests.standins.service --name N --port P``. A POST
-appends an entry and is not idempotent; ``GET /outcomes/KEY`` tells whether a
-call with that idempotency key ran. ``POST /faults`` sets faults.
+appends an entry and is not idempotent; ``GET /outcomes/KEY`` tells the outcome
+of the call that the header ``tarragonrudder-record`` names. ``POST /faults``
+sets faults.
 """
 
 import argparse
+import base64
 import os
 import typing as t
 from dataclasses import dataclass, field
@@ -29,10 +31,13 @@
         Seconds between running a call and its answer.
     crash : str
         ``before`` or ``after`` running the next POST, or empty.
+    refuse : bool
+        Refuse each POST before running it.
     """
 
     delay: float = 0.0
     crash: str = ""
+    refuse: bool = False
 
 
 @dataclass(slots=True)
@@ -42,7 +47,7 @@
     name: str
     journal: Journal
     faults: Faults = field(default_factory=Faults)
-    runs: dict[str, int] = field(default_factory=dict)
+    outcomes: dict[str, bytes] = field(default_factory=dict)
     count: int = 0
 
 
@@ -66,16 +71,34 @@
 
     @app.get("/outcomes/<key>")
     async def report_outcome(key: str) -> Response:
-        return respond({"runs": state.runs.get(key, 0)})
+        record = request.headers.get("tarragonrudder-record", "")
+        body = state.outcomes.get(record)
+        if body is None:
+            return respond({"record": record, "state": "not_known"})
+        return respond(
+            {
+                "record": record,
+                "state": "run",
+                "status": 201,
+                "content_type": "application/json",
+                "body": base64.b64encode(body).decode(),
+            }
+        )
 
     @app.post("/<path:path>")
     async def run_action(path: str) -> Response:
         body = await request.get_data()
         key = request.headers.get("idempotency-key", "")
+        if state.faults.refuse:
+            refused = respond({"error": "busy"}, 503)
+            refused.headers["tarragonrudder-run-state"] = "not_run"
+            return refused
         if state.faults.crash == "before":
             os._exit(70)
         state.count += 1
-        state.runs[key] = state.runs.get(key, 0) + 1
+        answer = {"number": state.count, "by": state.name}
+        record = request.headers.get("tarragonrudder-record", "")
+        state.outcomes[record] = orjson.dumps(answer)
         state.journal.write(
             "ran", upstream=state.name, key=key, path=path, body=body.decode()
         )
@@ -83,7 +106,7 @@
             os._exit(70)
         if state.faults.delay:
             await trio.sleep(state.faults.delay)
-        return respond({"number": state.count, "by": state.name}, 201)
+        return respond(answer, 201)
 
     @app.get("/<path:path>")
     async def look_up(path: str) -> Response:
