Plan a link as slow while its chains are slow

The plan now takes a tenth of such a link's capacity, held for 30 s and for longer each time that it is found slow again, since a relieved link looks healthy.

--- a/src/tarragonrudder/core/load.py
+++ b/src/tarragonrudder/core/load.py
@@ -38,9 +38,12 @@
 
     def finish(self, engine: str, layers: int, now: float) -> None:
         """Count an answer that no longer uses an engine."""
-        state = self._states[engine]
+        state = self._states.get(engine)
+        if state is None or not state.running:
+            # It was started under a configuration that called it otherwise.
+            return
         state.running -= 1
-        state.layers -= layers
+        state.layers = max(0, state.layers - layers)
         state.changes.append((now, -1))
 
     def merge(self, event: LoadReported, now: float) -> None:
--- a/src/tarragonrudder/core/plans.py
+++ b/src/tarragonrudder/core/plans.py
@@ -2,12 +2,22 @@
 
 import typing as t
 from collections import OrderedDict
+from dataclasses import dataclass, replace
 
 from tarragonrudder.core.fleet import Configuration, Engine, Link, Model
 from tarragonrudder.core.flow import Plan, compute_plan
 
 PLAN_PERIOD = 0.5  # seconds between two new plans of one model
 MAX_PLANS = 8  # plans kept for each model
+SLOW_FACTOR = 10.0  # by which a slow link's capacity is divided
+
+
+@dataclass(frozen=True, slots=True)
+class _Case:
+    """What a plan has to do without."""
+
+    excluded: frozenset[str]
+    slow_links: frozenset[str]
 
 
 class Plans:
@@ -21,7 +31,7 @@
         self._fleet: tuple[t.Any, ...] = ()
         self._links: tuple[Link, ...] = ()
         self._engines: dict[tuple[str, str], tuple[Engine, ...]] = {}
-        self._plans: dict[tuple[str, str], OrderedDict[frozenset[str], Plan]] = {}
+        self._plans: dict[tuple[str, str], OrderedDict[_Case, Plan]] = {}
         self._computed_at: dict[tuple[str, str], float] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -42,24 +52,51 @@
         """Return all configured engines of a model."""
         return self._engines.get((model.name, model.version), ())
 
-    def find(self, model: Model, excluded: frozenset[str], now: float) -> Plan:
-        """Return the plan without the excluded engines, or the newest one."""
+    def find(
+        self,
+        model: Model,
+        excluded: frozenset[str],
+        now: float,
+        slow_links: frozenset[str] = frozenset(),
+    ) -> Plan:
+        """Return the plan without the excluded engines, or the newest one.
+
+        Parameters
+        ----------
+        slow_links : frozenset of str
+            Names, by ``name_link``, of links to be planned as slow.
+        """
         key = (model.name, model.version)
         engines = self._engines.get(key, ())
         if excluded:
             excluded = frozenset(e.name for e in engines if e.name in excluded)
+        case = _Case(excluded, slow_links)
         plans = self._plans.setdefault(key, OrderedDict())
-        plan = plans.get(excluded)
+        plan = plans.get(case)
         if plan is not None:
-            plans.move_to_end(excluded)
+            plans.move_to_end(case)
             return plan
         recent = now - self._computed_at.get(key, -PLAN_PERIOD) < PLAN_PERIOD
         if plans and recent:
             return next(reversed(plans.values()))
         usable = [engine for engine in engines if engine.name not in excluded]
-        plan = compute_plan(model, usable, self._links)
-        plans[excluded] = plan
+        plan = compute_plan(model, usable, self._slow_down(slow_links))
+        plans[case] = plan
         self._computed_at[key] = now
         if len(plans) > MAX_PLANS:
             plans.popitem(last=False)
         return plan
+
+    def _slow_down(self, slow_links: frozenset[str]) -> list[Link]:
+        links = []
+        for link in self._links:
+            if name_link(link.source, link.target) in slow_links:
+                rate = link.bytes_per_second / SLOW_FACTOR
+                link = replace(link, bytes_per_second=rate)
+            links.append(link)
+        return links
+
+
+def name_link(source: str, target: str) -> str:
+    """Return the name of a link, the same in both directions."""
+    return "-".join(sorted((source, target)))
--- a/src/tarragonrudder/core/selection.py
+++ b/src/tarragonrudder/core/selection.py
@@ -9,7 +9,7 @@
 from tarragonrudder.core.event import CacheChanged, LoadReported
 from tarragonrudder.core.fleet import Configuration, Engine, LayerRange, Link, Model
 from tarragonrudder.core.load import Load
-from tarragonrudder.core.plans import Plans
+from tarragonrudder.core.plans import Plans, name_link
 from tarragonrudder.core.prefix import Prefixes
 from tarragonrudder.core.sampler import Sampler
 from tarragonrudder.core.slowness import Slowness
@@ -69,7 +69,7 @@
         self._engines = {engine.name: engine for engine in configuration.engines}
         self._links = {}
         for link in configuration.links:
-            self._links["-".join(sorted((link.source, link.target)))] = link
+            self._links[name_link(link.source, link.target)] = link
         self._samplers.clear()
         self._mean_layers.clear()
 
@@ -152,7 +152,8 @@
         return self._cover(need.model, whole, excluded)
 
     def _find_sampler(self, model: Model, excluded: frozenset[str]) -> Sampler:
-        plan = self._plans.find(model, excluded, self._now)
+        slow = self._slowness.list_slow(self._links, self._now)
+        plan = self._plans.find(model, excluded, self._now, slow)
         sampler = self._samplers.get(id(plan))
         if sampler is not None and sampler.plan is plan:
             return sampler
@@ -259,4 +260,4 @@
         one, other = self._engines.get(before), self._engines.get(after)
         if one is None or other is None or one.data_center == other.data_center:
             return None
-        return "-".join(sorted((one.data_center, other.data_center)))
+        return name_link(one.data_center, other.data_center)
--- a/src/tarragonrudder/core/slowness.py
+++ b/src/tarragonrudder/core/slowness.py
@@ -5,6 +5,8 @@
 once with a fast chain and rises slowly with slow ones.
 """
 
+import typing as t
+
 from tarragonrudder.core.chain import Chain
 
 FALL = 0.5  # weight of a chain that is faster than the estimate
@@ -12,6 +14,9 @@
 USUAL_SMOOTHING = 0.02  # weight of the newest chain in the usual gap
 TOLERANCE = 1.3  # ratio to the usual gap that is not held against a part
 MAX_PENALTY = 20.0
+SLOW_PENALTY = 2.0  # from which on a part is planned as slow
+FIRST_HOLD = 30.0  # seconds for which a part is planned as slow
+MAX_HOLD = 480.0  # seconds; the hold doubles each time it is slow again
 
 
 class Slowness:
@@ -20,6 +25,7 @@
     def __init__(self) -> None:
         self._usual: dict[tuple[str, str], float] = {}
         self._ratios: dict[str, float] = {}
+        self._holds: dict[str, tuple[float, float]] = {}
 
     def observe(self, chain: Chain, parts: list[str], gap: float) -> None:
         """Take in the token gap of a chain made of these parts."""
@@ -37,3 +43,20 @@
         """Return the factor by which a part's time is to be multiplied."""
         ratio = self._ratios.get(part, 1.0)
         return min(MAX_PENALTY, max(1.0, ratio / TOLERANCE))
+
+    def list_slow(self, parts: t.Iterable[str], now: float) -> frozenset[str]:
+        """Return the parts to be planned as slow.
+
+        A part that gets less work soon looks healthy, so it is held as slow
+        for a while, and for longer each time that it is found slow again.
+        """
+        found = set()
+        for part in parts:
+            hold, until = self._holds.get(part, (0.0, 0.0))
+            if until <= now and self.penalty(part) >= SLOW_PENALTY:
+                hold = min(MAX_HOLD, 2.0 * hold) if hold else FIRST_HOLD
+                until = now + hold
+                self._holds[part] = (hold, until)
+            if until > now:
+                found.add(part)
+        return frozenset(found)
