Let an account with less than its share begin past a full window

Ruled out: a longer queue, which spends the first token's time. The window also shrinks, slowly, while more run than it allows. The module of observations got a name of its own.

--- /dev/null
+++ b/benchmarks/fairness.py
@@ -0,0 +1,69 @@
+"""On-time share of small client accounts with and without large ones."""
+
+from dataclasses import dataclass
+
+from benchmarks.drive import Run, Setup
+from benchmarks.fleet import Site
+from benchmarks.outcome import Outcome
+from benchmarks.scenarios import DURATION, FEW_LARGE, SEED, TAIL, WARM_UP
+
+LOADS = (0.8, 1.1, 1.3, 2.0)
+LARGE = {"account-0", "account-1"}
+
+
+@dataclass(frozen=True, slots=True)
+class Fairness:
+    """Shares on time at one load."""
+
+    load: float
+    large: float
+    small: float
+    small_alone: float
+
+
+def measure_fairness(site: Site) -> list[Fairness]:
+    """Measure the small accounts beside two large ones, and alone."""
+    alone = (0.0, 0.0, *FEW_LARGE[2:])
+    small_share = sum(alone)
+    found = []
+    for load in LOADS:
+        both = _run(site, load, FEW_LARGE)
+        rest = _run(site, load * small_share, alone)
+        found.append(
+            Fairness(
+                load,
+                _share(both, large=True),
+                _share(both, large=False),
+                _share(rest, large=False),
+            )
+        )
+    return found
+
+
+def format_fairness(found: list[Fairness]) -> str:
+    """Return the shares as a Markdown table."""
+    lines = [
+        "| load | two large accounts on time | eight small ones | small ones alone |",
+        "|---:|---:|---:|---:|",
+    ]
+    for each in found:
+        lines.append(
+            f"| {each.load:.1f} | {each.large:.3f} | {each.small:.3f} "
+            f"| {each.small_alone:.3f} |"
+        )
+    return "\n".join(lines)
+
+
+def _run(site: Site, load: float, shares: tuple[float, ...]) -> list[Outcome]:
+    setup = Setup(site, SEED, DURATION, lambda now: load, account_shares=shares)
+    return Run(setup).run()
+
+
+def _share(outcomes: list[Outcome], large: bool) -> float:
+    chosen = [
+        each
+        for each in outcomes
+        if (each.account in LARGE) is large
+        and WARM_UP <= each.arrived < DURATION - TAIL
+    ]
+    return sum(each.on_time for each in chosen) / max(1, len(chosen))
--- a/src/tarragonrudder/core/admission.py
+++ b/src/tarragonrudder/core/admission.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from tarragonrudder.core.fleet import ClientAccount, Configuration, Model, Priority
-from tarragonrudder.core.pace import Observation
+from tarragonrudder.core.observation import Observation
 from tarragonrudder.core.plans import Plans
 from tarragonrudder.core.share import Entry, FairQueue
 from tarragonrudder.core.window import FIRST_TOKEN_TARGET, TOKEN_GAP_TARGET, Window
@@ -252,7 +252,7 @@
             return False
         weight = pool.weight + (0.0 if usage is not None else account.weight)
         share = account.weight / weight * pool.window.size
-        return running + 1 <= share
+        return running < share
 
     def _refuse(self, pool: _Pool, ticket: Ticket) -> Problem:
         """Return an error that says when the backlog will have been served."""
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -51,7 +51,7 @@
     RecordSubmitted,
     UpstreamLeaving,
 )
-from tarragonrudder.core.pace import Pace
+from tarragonrudder.core.observation import AttemptObserver
 from tarragonrudder.core.plans import Plans
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
@@ -105,7 +105,7 @@
         self.selector = make_selector(options.data_center, source, plans)
         self.limits = Limits(options.name)
         self.admission = Admission(plans)
-        self.pace = Pace()
+        self.observer = AttemptObserver()
         self.quarantine = Quarantine()
         self.budget = RetryBudget()
         self.answers = Answers(
@@ -150,12 +150,12 @@
         self._observe(event, now)
         actions = self._dispatch(event, now)
         actions.extend(self._settle(now))
-        self.pace.note_actions(actions, now)
+        self.observer.note_actions(actions, now)
         return actions
 
     def _observe(self, event: Event, now: float) -> None:
         """Learn from the pace of tokens how busy the fleet is."""
-        observation = self.pace.note_event(event, now)
+        observation = self.observer.note_event(event, now)
         if observation is None:
             return
         self.admission.observe(observation)
@@ -333,7 +333,7 @@
         actions = self.calls.keyed.settle(now)
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
-            self.pace.forget(request)
+            self.observer.forget(request)
             self.admission.release(request, tokens, now)
         for ticket in self.admission.take_expired(now):
             problem = self.admission.refuse(ticket, now)
--- a/src/tarragonrudder/core/pace.py
+++ b/src/tarragonrudder/core/observation.py
@@ -33,7 +33,7 @@
     begun: bool = False
 
 
-class Pace:
+class AttemptObserver:
     """Follows attempts from the events and actions that pass the node."""
 
     def __init__(self) -> None:
--- a/src/tarragonrudder/core/window.py
+++ b/src/tarragonrudder/core/window.py
@@ -14,6 +14,7 @@
 CONTROL_PERIOD = 0.25  # seconds between two changes of the window
 INCREASE = 0.5  # answers for each period
 MAX_DECREASE = 0.8  # factor of one period at most
+EXCESS_DECREASE = 0.97  # factor of one period while more run than the window
 MIN_WINDOW = 2.0  # answers
 MAX_WINDOW = 4096.0  # answers
 SMOOTHING = 0.5  # weight of the newest period
@@ -72,13 +73,20 @@
         self._close_period()
         pressure = self._measure_pressure()
         if pressure > 1.0:
-            # Answers that run on end only later: the size is set against them,
-            # so that it does not fall anew for the same excess.
-            factor = max(MAX_DECREASE, 1.0 / pressure)
-            self._size = max(MIN_WINDOW, min(self._size, running * factor))
+            self._size = max(MIN_WINDOW, self._shrink(running, pressure))
         elif running >= USED_SHARE * self._size:
             self._size = min(MAX_WINDOW, self._size + INCREASE)
 
+    def _shrink(self, running: int, pressure: float) -> float:
+        """Return a smaller size.
+
+        Answers that run on end only later, so the size is set against them and
+        does not fall anew for the same excess, but for a little.
+        """
+        if running > self._size:
+            return self._size * EXCESS_DECREASE
+        return running * max(MAX_DECREASE, 1.0 / pressure)
+
     def _close_period(self) -> None:
         if self._gap_tokens:
             gap = self._gap_seconds / self._gap_tokens
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,7 @@
 from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket, Waiting
 from tarragonrudder.core.chain import Chain
 from tarragonrudder.core.fleet import ClientAccount, Model, Priority
-from tarragonrudder.core.pace import Observation
+from tarragonrudder.core.observation import Observation
 from tarragonrudder.core.window import FIRST_TOKEN_TARGET, Window
 from tarragonrudder.errors import Overloaded, RunState
 
