--- a/src/tarragonrudder/core/plans.py
+++ b/src/tarragonrudder/core/plans.py
@@ -68,9 +68,9 @@
         """
         key = (model.name, model.version)
         engines = self._engines.get(key, ())
-        if excluded:
-            excluded = frozenset(e.name for e in engines if e.name in excluded)
-        case = _Case(excluded, slow_links)
+        # Engines of other models do not tell plans of this one apart.
+        own = frozenset(e.name for e in engines if e.name in excluded)
+        case = _Case(own, slow_links)
         plans = self._plans.setdefault(key, OrderedDict())
         plan = plans.get(case)
         if plan is not None:
@@ -79,7 +79,7 @@
         recent = now - self._computed_at.get(key, -PLAN_PERIOD) < PLAN_PERIOD
         if plans and recent:
             return next(reversed(plans.values()))
-        usable = [engine for engine in engines if engine.name not in excluded]
+        usable = [engine for engine in engines if engine.name not in own]
         plan = compute_plan(model, usable, self._slow_down(slow_links))
         plans[case] = plan
         self._computed_at[key] = now
