--- /dev/null
+++ b/src/tarragonrudder/core/flow.py
@@ -0,0 +1,207 @@
+"""Throughput bound of a fleet, as a maximum flow of tokens a second.
+
+The layers of a model are cut wherever an engine's range starts or ends. A
+segment between two cuts is run by one engine for each token, and an engine
+spends its speed on the segments that it holds. How engines divide their speed
+is a flow from engines to segments; where tokens cross data centres is a flow
+through (segment, data centre) pairs whose arcs are the links.
+"""
+
+import typing as t
+from dataclasses import dataclass, replace
+
+from tarragonrudder.core.division import Division, Share, divide_speed, find_pass_floor
+from tarragonrudder.core.fleet import Engine, LayerRange, Link, Model
+from tarragonrudder.core.routing import (
+    ENOUGH,
+    Crossing,
+    find_link_rates,
+    fit_shares,
+    route,
+    route_balanced,
+    sum_ceilings,
+)
+
+LINK_USE = 0.7  # share of a link's capacity that is planned, where that is enough
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """How a model's tokens spread over its engines at full load.
+
+    Attributes
+    ----------
+    bound : float
+        Tokens per second that no choice of chains can exceed.
+    planned : float
+        Tokens per second that the shares and crossings below carry. It is
+        smaller than `bound` where links hinder this division of speed.
+    segments : tuple of LayerRange
+        The layers between two cuts, in order.
+    shares : tuple of tuple of Share
+        For each segment, what each of its engines runs.
+    crossings : tuple of tuple of Crossing
+        For each boundary between two segments, what goes where.
+    """
+
+    bound: float
+    planned: float
+    segments: tuple[LayerRange, ...]
+    shares: tuple[tuple[Share, ...], ...]
+    crossings: tuple[tuple[Crossing, ...], ...]
+
+
+EMPTY_PLAN = Plan(0.0, 0.0, (), (), ())
+
+
+def compute_plan(
+    model: Model, engines: t.Sequence[Engine], links: t.Sequence[Link]
+) -> Plan:
+    """Compute a model's throughput bound and a division of work that reaches it.
+
+    Parameters
+    ----------
+    engines : sequence of Engine
+        Engines that may be used; those of other models are left out.
+    links : sequence of Link
+        Links between data centres; a pair without one is not limited.
+    """
+    own = [
+        engine
+        for engine in engines
+        if (engine.model, engine.version) == (model.name, model.version)
+    ]
+    segments = cut_layers(model, own)
+    for segment in segments:
+        if not any(engine.layers.contains(segment) for engine in own):
+            return EMPTY_PLAN
+    fleet = _Fleet(model, tuple(own), segments, find_link_rates(model, links))
+    plan = fleet.plan_whole()
+    if plan.planned >= ENOUGH * plan.bound:
+        return plan
+    bound = min(plan.bound, fleet.bound_by_centers())
+    by_center = fleet.plan_by_center(bound)
+    best = by_center if by_center.planned > plan.planned else plan
+    return replace(best, bound=bound)
+
+
+@dataclass(frozen=True, slots=True)
+class _Fleet:
+    """What the plans of one model are made from."""
+
+    model: Model
+    engines: tuple[Engine, ...]
+    segments: tuple[LayerRange, ...]
+    rates: dict[tuple[str, str], float]
+
+    def plan_whole(self) -> Plan:
+        """Plan over all data centres at once."""
+        floor = find_pass_floor(self.segments, self.engines)
+        bound, capacities = divide_speed(self.segments, self.engines, floor)
+        if bound <= 0.0:
+            none = tuple(() for _ in self.segments)
+            return Plan(0.0, 0.0, self.segments, none, none[1:])
+        ceilings = sum_ceilings(self.segments, self.engines, floor)
+        bound = min(bound, route(ceilings, self.rates, cheapest=False).rate)
+        reduced = {pair: LINK_USE * rate for pair, rate in self.rates.items()}
+        routing = route_balanced(capacities, (reduced, self.rates), bound)
+        shares = fit_shares(capacities, routing.through)
+        planned = min(routing.rate, bound)
+        return Plan(bound, planned, self.segments, shares, routing.crossings)
+
+    def bound_by_centers(self) -> float:
+        """Return what all data centres carry alone, and all links besides.
+
+        A token that is not run within one data centre crosses some link.
+        """
+        centers = self._list_centers()
+        pairs = {frozenset(pair) for pair in self.rates}
+        count = len(centers) * (len(centers) - 1) // 2
+        if len([pair for pair in pairs if pair <= set(centers)]) < count:
+            return float("inf")
+        alone = sum(self._divide_center(center)[0] for center in centers)
+        crossing = 0.0
+        for source, target in self.rates:
+            if source < target and {source, target} <= set(centers):
+                crossing += self.rates[(source, target)]
+        return alone + crossing
+
+    def plan_by_center(self, bound: float) -> Plan:
+        """Plan each data centre alone, then what is left over the links."""
+        used: dict[str, float] = {}
+        divisions: list[Division] = []
+        crossings: list[Crossing] = []
+        total = 0.0
+        for center in self._list_centers():
+            rate, division = self._divide_center(center)
+            if rate <= 0.0:
+                continue
+            scaled = fit_shares(division, [{center: rate} for _ in self.segments])
+            divisions.append(scaled)
+            crossings.append(Crossing(center, center, rate))
+            total += rate
+            for segment, shares in zip(self.segments, scaled, strict=True):
+                for share in shares:
+                    work = share.rate * len(segment)
+                    used[share.engine.name] = used.get(share.engine.name, 0.0) + work
+        rest = self._plan_rest(used)
+        divisions.append(rest.shares)
+        shares = _sum_divisions(divisions, self.engines)
+        boundaries = []
+        for boundary in rest.crossings:
+            boundaries.append(_sum_crossings([*crossings, *boundary]))
+        planned = min(bound, total + rest.planned)
+        return Plan(bound, planned, self.segments, shares, tuple(boundaries))
+
+    def _plan_rest(self, used: dict[str, float]) -> Plan:
+        left = []
+        for engine in self.engines:
+            speed = engine.layer_tokens_per_second - used.get(engine.name, 0.0)
+            left.append(replace(engine, layer_tokens_per_second=max(1e-6, speed)))
+        return replace(self, engines=tuple(left)).plan_whole()
+
+    def _divide_center(self, center: str) -> tuple[float, Division]:
+        engines = [each for each in self.engines if each.data_center == center]
+        for segment in self.segments:
+            if not any(engine.layers.contains(segment) for engine in engines):
+                return 0.0, ()
+        floor = find_pass_floor(self.segments, engines)
+        return divide_speed(self.segments, engines, floor)
+
+    def _list_centers(self) -> list[str]:
+        return sorted({engine.data_center for engine in self.engines})
+
+
+def _sum_divisions(
+    divisions: t.Sequence[Division], engines: t.Sequence[Engine]
+) -> Division:
+    by_name = {engine.name: engine for engine in engines}
+    summed = []
+    for shares in zip(*divisions, strict=True):
+        rates: dict[str, float] = {}
+        for share in (each for group in shares for each in group):
+            name = share.engine.name
+            rates[name] = rates.get(name, 0.0) + share.rate
+        summed.append(tuple(Share(by_name[n], rate) for n, rate in rates.items()))
+    return tuple(summed)
+
+
+def _sum_crossings(crossings: t.Sequence[Crossing]) -> tuple[Crossing, ...]:
+    rates: dict[tuple[str, str], float] = {}
+    for each in crossings:
+        pair = (each.source, each.target)
+        rates[pair] = rates.get(pair, 0.0) + each.rate
+    return tuple(Crossing(*pair, rate) for pair, rate in rates.items())
+
+
+def cut_layers(model: Model, engines: t.Sequence[Engine]) -> tuple[LayerRange, ...]:
+    """Return the segments between all starts and ends of the engines' ranges."""
+    cuts = {0, model.layer_count}
+    for engine in engines:
+        cuts.add(min(engine.layers.first, model.layer_count))
+        cuts.add(min(engine.layers.last + 1, model.layer_count))
+    ordered = sorted(cuts)
+    segments = []
+    for first, end in zip(ordered, ordered[1:], strict=False):
+        segments.append(LayerRange(first, end - 1))
+    return tuple(segments)
--- a/src/tarragonrudder/core/selection.py
+++ b/src/tarragonrudder/core/selection.py
@@ -1,11 +1,24 @@
 """Choice of the chain that an answer passes through."""
 
 import random
+import typing as t
 from dataclasses import dataclass
 
 from tarragonrudder.core.chain import Chain, Hop
+from tarragonrudder.core.cover import cover_layers
 from tarragonrudder.core.event import CacheChanged, LoadReported
-from tarragonrudder.core.fleet import Configuration, Engine, LayerRange, Model
+from tarragonrudder.core.fleet import Configuration, Engine, LayerRange, Link, Model
+from tarragonrudder.core.load import Load
+from tarragonrudder.core.plans import Plans, name_link
+from tarragonrudder.core.prefix import Prefixes
+from tarragonrudder.core.sampler import Sampler
+from tarragonrudder.core.slowness import Slowness
+
+CANDIDATES = 4  # chains drawn from the plan, of which the least loaded is taken
+BOTTLENECK_WEIGHT = 2.0  # of the slowest stage, beside the sum of all stages
+PREFIX_DISCOUNT = 0.3  # share of the cost that a cached prefix saves
+DEFAULT_LATENCY = 0.0005  # seconds over a link that is not configured
+MAX_SAMPLERS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,62 +47,217 @@
 class Selector:
     """Chooses chains and keeps count of its own work in flight."""
 
-    def __init__(self, data_center: str, source: random.Random) -> None:
+    def __init__(
+        self, data_center: str, source: random.Random, plans: Plans | None = None
+    ) -> None:
         self._data_center = data_center
         self._random = source
-        self._engines: dict[tuple[str, str], list[Engine]] = {}
-        self._running: dict[str, int] = {}
+        self._plans = plans if plans is not None else Plans()
+        self._engines: dict[str, Engine] = {}
+        self._links: dict[str, Link] = {}
+        self._node_count = 1
+        self._samplers: dict[int, Sampler] = {}
+        self._load = Load()
+        self._prefixes = Prefixes()
+        self._slowness = Slowness()
+        self._mean_layers: dict[str, float] = {}
+        self._now = 0.0
 
     def configure(self, configuration: Configuration) -> None:
         """Take a new configuration into use."""
-        self._engines = {}
-        for engine in configuration.engines:
-            key = (engine.model, engine.version)
-            self._engines.setdefault(key, []).append(engine)
+        self._plans.configure(configuration)
+        self._engines = {engine.name: engine for engine in configuration.engines}
+        self._links = {}
+        for link in configuration.links:
+            self._links[name_link(link.source, link.target)] = link
+        self._samplers.clear()
+        self._mean_layers.clear()
+
+    def set_node_count(self, count: int) -> None:
+        """Set the number of live nodes, which share the links."""
+        self._node_count = max(1, count)
 
     def choose(self, need: Need, now: float) -> Chain | None:
-        """Return a chain that covers all layers, or None if there is none."""
-        engines = self._engines.get((need.model.name, need.model.version), [])
-        usable = [engine for engine in engines if engine.name not in need.excluded]
-        hops: list[Hop] = []
-        layer = 0
-        while layer < need.model.layer_count:
-            engine = self._choose_stage(usable, layer, need.keep)
-            if engine is None:
-                return None
-            last = engine.layers.last
-            hops.append(Hop(engine.name, engine.address, LayerRange(layer, last)))
-            layer = last + 1
-        return Chain(need.model.name, need.model.version, tuple(hops))
+        """Return a chain that covers all layers, or None if there is none.
+
+        Chains are drawn in proportion to the flow plan and the one that is
+        expected to be fastest is taken. Drawing keeps nodes that know the same
+        from all choosing the same idle engine.
+        """
+        self._now = now
+        hops = self._choose_hops(need, need.excluded | need.avoided)
+        if not hops and need.avoided:
+            hops = self._choose_hops(need, need.excluded)
+        if not hops:
+            return None
+        return Chain(need.model.name, need.model.version, hops)
 
     def start(self, chain: Chain) -> None:
         """Count an attempt that begins on a chain."""
-        for name in chain.upstreams:
-            self._running[name] = self._running.get(name, 0) + 1
+        for hop in chain.hops:
+            self._load.start(hop.upstream, len(hop.layers), self._now)
+        for link in self._list_links(chain):
+            self._load.start(link, 1, self._now)
 
     def finish(self, chain: Chain) -> None:
         """Count an attempt that ended on a chain."""
-        for name in chain.upstreams:
-            self._running[name] -= 1
+        for hop in chain.hops:
+            self._load.finish(hop.upstream, len(hop.layers), self._now)
+        for link in self._list_links(chain):
+            self._load.finish(link, 1, self._now)
 
     def merge_load(self, event: LoadReported, now: float) -> None:
         """Take in an engine's load report."""
+        self._now = now
+        self._load.merge(event, now)
 
     def merge_cache(self, event: CacheChanged, now: float) -> None:
         """Take in a cache event; a gap makes the engine's cache unknown."""
+        self._prefixes.merge(event)
+
+    def observe_gap(self, chain: Chain, gap: float, now: float) -> None:
+        """Take in the seconds between two tokens of an attempt on a chain."""
+        self._now = now
+        parts = [*chain.upstreams, *self._list_links(chain)]
+        self._slowness.observe(chain, parts, gap)
 
-    def _choose_stage(
-        self, engines: list[Engine], layer: int, keep: Chain | None
-    ) -> Engine | None:
-        kept = keep.upstreams if keep is not None else ()
-        best: Engine | None = None
-        best_cost = (True, 0.0, 0.0)
-        for engine in engines:
-            if not engine.layers.first <= layer <= engine.layers.last:
+    def describe(self, chain: Chain, prefix: str = "") -> dict[str, t.Any]:
+        """Return the reasons for a chain, for its log line."""
+        own = [self._load.own(name) for name in chain.upstreams]
+        others = [self._load.others(name, self._now) for name in chain.upstreams]
+        cached = [n for n in chain.upstreams if self._prefixes.holds(n, prefix)]
+        return {
+            "links": self._list_links(chain),
+            "own_in_flight": own,
+            "others_in_flight": [round(each, 1) for each in others],
+            "cached_on": cached,
+        }
+
+    def _choose_hops(self, need: Need, excluded: frozenset[str]) -> tuple[Hop, ...]:
+        if need.keep is not None:
+            return self._repair(need, need.keep, excluded)
+        sampler = self._find_sampler(need.model, excluded)
+        best: tuple[Hop, ...] = ()
+        best_cost = 0.0
+        for _ in range(CANDIDATES):
+            hops = sampler.draw(self._random)
+            if not hops or any(hop.upstream in excluded for hop in hops):
                 continue
-            running = self._running.get(engine.name, 0)
-            cost = (running + 1) / engine.layer_tokens_per_second
-            key = (engine.name not in kept, cost, self._random.random())
-            if best is None or key < best_cost:
-                best, best_cost = engine, key
-        return best
+            cost = self._measure(hops, need.prefix, need.model.activation_bytes)
+            if not best or cost < best_cost:
+                best, best_cost = hops, cost
+        if best:
+            return best
+        whole = LayerRange(0, need.model.layer_count - 1)
+        return self._cover(need.model, whole, excluded)
+
+    def _find_sampler(self, model: Model, excluded: frozenset[str]) -> Sampler:
+        slow = self._slowness.list_slow(self._links, self._now)
+        plan = self._plans.find(model, excluded, self._now, slow)
+        sampler = self._samplers.get(id(plan))
+        if sampler is not None and sampler.plan is plan:
+            return sampler
+        if len(self._samplers) >= MAX_SAMPLERS:
+            self._samplers.clear()
+        sampler = Sampler(plan)
+        self._samplers[id(plan)] = sampler
+        for engine in self._plans.list_engines(model):
+            mean = sampler.find_mean_layers(engine.name)
+            if mean > 0.0:
+                self._mean_layers[engine.name] = mean
+        return sampler
+
+    def _repair(
+        self, need: Need, keep: Chain, excluded: frozenset[str]
+    ) -> tuple[Hop, ...]:
+        """Keep the healthy stages of a chain and cover the layers between."""
+        hops: list[Hop] = []
+        first = 0
+        end = need.model.layer_count
+        for hop in keep.hops:
+            if hop.upstream in excluded or hop.upstream not in self._engines:
+                continue
+            if not self._engines[hop.upstream].layers.contains(hop.layers):
+                continue
+            if hop.layers.first > first:
+                gap = LayerRange(first, hop.layers.first - 1)
+                filled = self._cover(need.model, gap, excluded)
+                if not filled:
+                    return self._cover(need.model, LayerRange(0, end - 1), excluded)
+                hops.extend(filled)
+            hops.append(hop)
+            first = hop.layers.last + 1
+        if first < end:
+            filled = self._cover(need.model, LayerRange(first, end - 1), excluded)
+            if not filled:
+                return self._cover(need.model, LayerRange(0, end - 1), excluded)
+            hops.extend(filled)
+        return tuple(hops)
+
+    def _cover(
+        self, model: Model, layers: LayerRange, excluded: frozenset[str]
+    ) -> tuple[Hop, ...]:
+        engines = [
+            engine
+            for engine in self._plans.list_engines(model)
+            if engine.name not in excluded
+        ]
+        return cover_layers(engines, layers, self._measure_stage, self._random)
+
+    def _measure(
+        self, hops: tuple[Hop, ...], prefix: str, bytes_per_token: int
+    ) -> float:
+        """Return the expected seconds of a token, the slowest stage weighing more."""
+        total = 0.0
+        slowest = 0.0
+        cached = 0
+        layers = 0
+        before = ""
+        for hop in hops:
+            stage = self._measure_stage(self._engines[hop.upstream], hop.layers)
+            link = self._measure_link(before, hop.upstream, bytes_per_token)
+            slowest = max(slowest, stage, link)
+            total += stage + link
+            before = hop.upstream
+            layers += len(hop.layers)
+            if self._prefixes.holds(hop.upstream, prefix):
+                cached += len(hop.layers)
+        cost = total + BOTTLENECK_WEIGHT * slowest
+        return cost * (1.0 - PREFIX_DISCOUNT * cached / max(1, layers))
+
+    def _measure_stage(self, engine: Engine, layers: LayerRange) -> float:
+        """Return the seconds in which all answers in flight get one token."""
+        name = engine.name
+        usual = self._mean_layers.get(name, float(len(engine.layers)))
+        others = self._load.others(name, self._now) * usual
+        work = self._load.own_layers(name) + others + len(layers)
+        seconds = work / engine.layer_tokens_per_second
+        return seconds * self._slowness.penalty(name)
+
+    def _measure_link(self, before: str, after: str, bytes_per_token: int) -> float:
+        """Return the seconds that a token takes from one stage to the next."""
+        name = self._name_link(before, after)
+        if name is None:
+            return 0.0
+        link = self._links.get(name)
+        if link is None:
+            return DEFAULT_LATENCY
+        # No one reports on links: the other nodes are taken to do as this one.
+        crossing = self._load.own(name) * self._node_count + 1
+        transfer = crossing * bytes_per_token / link.bytes_per_second
+        return (link.latency + transfer) * self._slowness.penalty(name)
+
+    def _list_links(self, chain: Chain) -> list[str]:
+        found = []
+        for before, after in zip(chain.hops, chain.hops[1:], strict=False):
+            link = self._name_link(before.upstream, after.upstream)
+            if link is not None:
+                found.append(link)
+        return found
+
+    def _name_link(self, before: str, after: str) -> str | None:
+        """Return the name of the link between two stages, None within one place."""
+        one, other = self._engines.get(before), self._engines.get(after)
+        if one is None or other is None or one.data_center == other.data_center:
+            return None
+        return name_link(one.data_center, other.data_center)
