Let the fake engines share their speed over a batch, as the configuration says

Cause: the fakes gave every answer the whole configured speed, while the admission takes it, as documented, for the sum over a batch, and refused what it saw as overload in 11 quarantine and answer tests. Ruled out: the quarantine itself, whose cells pass. Now an answer gets speed / batch limit, and the token time of the tests is as before. After: test_quarantine, test_answer, test_membership and the matrix pass.

--- a/tests/standins/engines.py
+++ b/tests/standins/engines.py
@@ -73,7 +73,8 @@
         self._version = {e.name: e.version for e in configuration.engines}
         self.engines: dict[str, FakeEngine] = {}
         for engine in configuration.engines:
-            seconds = 1.0 / engine.layer_tokens_per_second
+            # Each answer of a full batch has its share of the engine's speed.
+            seconds = engine.batch_limit / engine.layer_tokens_per_second
             self.engines[engine.name] = FakeEngine(
                 engine.name, engine.data_center, seconds
             )
--- a/tests/standins/fleets.py
+++ b/tests/standins/fleets.py
@@ -14,6 +14,7 @@
 STAGES = (LayerRange(0, 3), LayerRange(4, 7), LayerRange(8, 11))
 DATA_CENTERS = ("dc-1", "dc-2", "dc-3")
 TOKEN_SECONDS = 0.045  # to run all layers of one token
+BATCH_LIMIT = 32  # answers at once
 ACCOUNT_RATE = 1e6  # requests per second; limits are tested elsewhere
 
 
@@ -21,7 +22,7 @@
     engines_per_stage: int = 3, deadline: float = 60.0, version: str = "1"
 ) -> Configuration:
     """Return a fleet whose engines hold one of three layer ranges each."""
-    speed = LAYER_COUNT / TOKEN_SECONDS
+    speed = BATCH_LIMIT * LAYER_COUNT / TOKEN_SECONDS
     engines = []
     for stage, layers in enumerate(STAGES):
         for index in range(engines_per_stage):
@@ -35,6 +36,7 @@
                     version,
                     layers,
                     speed,
+                    BATCH_LIMIT,
                 )
             )
     return Configuration(
