--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -16,6 +16,7 @@
 STOP_TIMEOUT = 15.0  # seconds
 API_KEY = "key-of-courts"
 LAYER_COUNT = 12
+BATCH_LIMIT = 32  # answers at once
 
 
 def find_ports(count: int) -> list[int]:
@@ -229,7 +230,9 @@
                 "accelerator = l40",
                 "model = jury@1",
                 f"layers = {spec.layers}",
-                f"layer_tokens_per_second = {spec.speed}",
+                # The stand-in runs each answer of a batch at its full speed.
+                f"layer_tokens_per_second = {spec.speed * BATCH_LIMIT}",
+                f"batch_limit = {BATCH_LIMIT}",
             ]
         (target / "10-base.ini").write_text("\n".join(lines) + "\n")
 
