--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -9,7 +9,7 @@
 import trustme
 
 from tarragonrudder.core.event import PeerReached
-from tarragonrudder.core.message import GenerationAnnounced, UpstreamLeaving
+from tarragonrudder.core.message import Facts, GenerationAnnounced, UpstreamLeaving
 from tarragonrudder.edges.peer import (
     MESSAGE_PATH,
     SIGNATURE_HEADER,
@@ -23,7 +23,7 @@
 
 SECRETS = PeerSecrets((b"first-secret-of-nodes", b"second-secret-of-nodes"))
 OTHER = PeerSecrets((b"a-secret-of-strangers",))
-MESSAGE = UpstreamLeaving("fast-a", 0.5)
+MESSAGE = Facts((UpstreamLeaving("fast-a", 0.5),))
 NOW = 1000.0
 
 
