--- a/src/tarragonrudder/edges/sync.py
+++ b/src/tarragonrudder/edges/sync.py
@@ -40,7 +40,7 @@
 REGISTRATION_RETRY = 1.0  # seconds
 LIST_PERIOD = 300.0  # seconds between full reads of the list of nodes
 WATCH_RETRY = 1.0  # seconds
-VMS_PERIOD = 1.0  # seconds
+VMS_PERIOD = 2.0  # seconds between reads of the list of VMs
 GAUGE_PERIOD = 5.0  # seconds
 
 
@@ -83,6 +83,7 @@
         logger: logging.Logger,
         metrics: Metrics,
         source: random.Random,
+        transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         self._settings = settings
         self._client = client
@@ -92,7 +93,10 @@
         self._random = source
         self._lease = 0
         self._nodes: dict[str, NodeAddress] = {}
-        self._vms = httpx.AsyncClient(timeout=settings.platform.timeout)
+        self._vms_tag: str | None = None
+        self._vms = httpx.AsyncClient(
+            timeout=settings.platform.timeout, transport=transport
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -199,16 +203,23 @@
             return
         while True:
             await self._read_vms(address)
-            await trio.sleep(VMS_PERIOD)
+            await trio.sleep(VMS_PERIOD * self._random.uniform(0.8, 1.2))
 
     async def _read_vms(self, address: str) -> None:
+        """Read the list, unless it is the one read last by its entity tag."""
+        headers = {}
+        if self._vms_tag is not None:
+            headers["if-none-match"] = self._vms_tag
         try:
-            response = await self._vms.get(address)
+            response = await self._vms.get(address, headers=headers)
+            if response.status_code == httpx.codes.NOT_MODIFIED:
+                return
             response.raise_for_status()
             listed = VmList.model_validate_json(response.content)
         except (httpx.HTTPError, ValidationError) as error:
             self._warn("vm_list_failed", error)
             return
+        self._vms_tag = response.headers.get("etag")
         vms = []
         for item in listed.vms:
             leaving = item.state == "leaving"
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import hashlib
 import math
 import sys
 import typing as t
@@ -232,7 +233,11 @@
 
     @app.get("/vms")
     async def list_vms() -> Response:
-        return respond({"vms": store.vms})
+        body = orjson.dumps({"vms": store.vms})
+        tag = f'"{hashlib.sha256(body).hexdigest()}"'
+        if request.headers.get("if-none-match") == tag:
+            return Response(b"", status=304, headers={"etag": tag})
+        return Response(body, content_type="application/json", headers={"etag": tag})
 
     @app.post("/vms")
     async def set_vms() -> Response:
