--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tarragonrudder.core.action import (
     Action,
@@ -23,8 +23,11 @@
     CallerGone,
     ChatRequested,
     Event,
+    HoldingRead,
+    LeaseGranted,
     LoadReported,
     NodesListed,
+    OrderAnswered,
     OutcomeRead,
     PeerLost,
     PeerReached,
@@ -54,6 +57,7 @@
     RecordSubmitted,
     UpstreamLeaving,
 )
+from tarragonrudder.core.planner import Planner, PlannerEvent
 from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
@@ -103,6 +107,7 @@
         self.selector = Selector(options.data_center, source)
         self.limits = Limits(options.name)
         self.admission = Admission()
+        self.planner = Planner(options.name, self.membership)
         self.quarantine = Quarantine(self.gossip)
         self.budget = RetryBudget()
         self.work_budget = WorkBudget()
@@ -191,7 +196,8 @@
                 return actions
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
-                self.limits.set_nodes(event.nodes)
+                self.limits.set_nodes(event.nodes, now)
+                self.planner.set_nodes(node.name for node in event.nodes)
                 self.control.set_nodes(event)
                 self.calls.recorder.set_nodes(event.nodes)
             case (
@@ -203,9 +209,21 @@
             ) if event.tag.startswith("record:"):
                 return self.calls.recorder.handle_platform(event, now)
             case PeerLost(message=message):
+                self.limits.handle_lost(event.node, message, now)
                 return self.calls.recorder.handle_lost(message, now)
             case PeerReached():
                 return self._hear(event, now)
+            case OrderAnswered() | HoldingRead():
+                return self.planner.handle(event, now)
+            case (
+                LeaseGranted()
+                | PlatformFailed()
+                | PlatformValue()
+                | SwapConflicted()
+                | SwapLost()
+                | Swapped()
+            ) if event.tag.startswith("planner-"):
+                return self._handle_planner(event, now)
             case TimerFired():
                 return self._fire(event.timer, now)
             case StopRequested():
@@ -289,13 +307,27 @@
         configuration = self.configuration
         if configuration is before:
             return actions
-        self.selector.configure(configuration)
+        self.planner.configure(configuration)
+        self._place_engines()
+        self.limits.configure(self.adoption.index.accounts)
         self.admission.configure(configuration)
-        self.membership.configure(configuration.engines)
-        self.answers.configure(configuration.engines)
         self.calls.configure(configuration)
         return actions
 
+    def _handle_planner(self, event: PlannerEvent, now: float) -> list[Action]:
+        before = self.planner.revision
+        actions = self.planner.handle(event, now)
+        if self.planner.revision != before:
+            self._place_engines()
+        return actions
+
+    def _place_engines(self) -> None:
+        """Use the engines as the placement record has them."""
+        engines = self.planner.place_engines()
+        self.membership.configure(engines)
+        self.selector.configure(replace(self.configuration, engines=engines))
+        self.answers.configure(engines)
+
     def _hear(self, event: PeerReached, now: float) -> list[Action]:
         match event.message:
             case Facts(facts=facts):
@@ -323,6 +355,7 @@
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
+            actions.extend(self.planner.tick(now))
             actions.extend(self.membership.tick(now))
             self.quarantine.tick(now)
             self.answers.tick(now)
@@ -343,7 +376,8 @@
 
     def _settle(self, now: float) -> list[Action]:
         """End what has ended and start what may start now."""
-        actions = self.calls.keyed.settle(now)
+        actions = self.limits.flush(now)
+        actions.extend(self.calls.keyed.settle(now))
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
             self.admission.release(request, tokens, now)
