--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from benchmarks.spread import spread_fact
 
 from tarragonrudder.core.action import ProbeUpstream, SendPeer
 from tarragonrudder.core.event import UpstreamProbed, VirtualMachine, VmsListed
@@ -111,41 +112,12 @@
     assert play_leaving(1, 7, 0.0, "list") != []
 
 
-def spread_one(node_count: int, loss: float, seed: int) -> tuple[float, int]:
-    """Return the rounds' time until all nodes know a fact, and its messages."""
-    source = random.Random(seed)
-    names = [f"node-{index}" for index in range(node_count)]
-    gossips = {name: Gossip(random.Random(source.random())) for name in names}
-    known = {names[0]}
-    for name in names:
-        gossips[name].set_peers(tuple(other for other in names if other != name))
-    gossips[names[0]].spread("leaving:u", UpstreamLeaving("u", 0.0), 0.0)
-    messages = 0
-    now = 0.0
-    last = 0.0
-    while now < 4.0:
-        sent = []
-        for name in names:
-            sent.extend(gossips[name].fire(now))
-        for action in sent:
-            if not isinstance(action, SendPeer):
-                continue
-            messages += 1
-            if source.random() < loss or action.node in known:
-                continue
-            known.add(action.node)
-            gossips[action.node].spread("leaving:u", UpstreamLeaving("u", 0.0), now)
-            last = now
-        now += 0.2
-    assert len(known) == node_count
-    return last, messages
-
-
 @pytest.mark.parametrize("loss", [0.0, 0.2])
 @pytest.mark.parametrize("seed", range(3))
 def test_fact_reaches_400_nodes(loss: float, seed: int) -> None:
-    reached, _ = spread_one(400, loss, seed)
-    assert reached < 2.0
+    spread = spread_fact(400, loss, seed)
+    assert spread.known == 400
+    assert spread.seconds < 2.0
 
 
 def test_bytes_are_bounded() -> None:
