Split dispatch of attempts from the life of an answer; let a queued one wait

An answer without a first token whose stages and links pass others' tokens is in an engine's queue: it is no longer moved, which would cost its place.

--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -2,19 +2,18 @@
 
 from tarragonrudder.core.action import (
     Action,
-    CancelAttempt,
     ClearTimer,
     EmitTokens,
     EndAnswer,
     FailAnswer,
-    LogDecision,
     SetTimer,
 )
 from tarragonrudder.core.admission import Ticket
 from tarragonrudder.core.assembly import Assembly, TokenFault
-from tarragonrudder.core.attempt import Answer, describe_attempt, make_attempt
+from tarragonrudder.core.attempt import Answer
 from tarragonrudder.core.budget import WorkBudget
 from tarragonrudder.core.diagnosis import PROBE_TIMEOUT, Diagnosis, Finding
+from tarragonrudder.core.dispatch import Dispatcher, await_token
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
@@ -31,23 +30,17 @@
 from tarragonrudder.core.pace import MIN_GAPS, SLOW_FACTOR, Pace
 from tarragonrudder.core.passage import Passages
 from tarragonrudder.core.quarantine import CLEARING_TOKENS, Quarantine
-from tarragonrudder.core.recovery import Later, Plan, Recovery
+from tarragonrudder.core.recovery import Recovery
 from tarragonrudder.core.refusal import (
-    refuse_blocked,
     refuse_late,
     refuse_rejected,
-    refuse_unreachable,
 )
 from tarragonrudder.core.selection import Selector
 from tarragonrudder.errors import Problem
 
-NO_CHAIN_WAIT = 10.0  # seconds for which a chain is waited for
-NO_CHAIN_PERIOD = 0.2  # seconds between looks for a chain
-BUDGET_PERIOD = 0.1  # seconds between looks at the retry budget
 END_TIMEOUT = 0.3  # seconds for tokens that come after their terminator
 PROBE_GRACE = 0.2  # seconds that a probe's result may be late
 FIRST_TOKEN_TIMEOUT = 2.0  # seconds before a live chain without a token is left
-MOVE_PERIOD = 3.0  # seconds between two moves off a slow chain
 SILENT_PERIOD = 0.3  # seconds without a token before a dead stage is left
 MAX_REJECTIONS = 3  # upstreams that may reject a request
 
@@ -66,6 +59,7 @@
         self._selector = selector
         self._quarantine = quarantine
         self._recovery = Recovery(membership, selector, quarantine, budget)
+        self._dispatcher = Dispatcher(membership, selector, quarantine, self._recovery)
         self._diagnosis = Diagnosis()
         self._passages = Passages()
         self._answers: dict[str, Answer] = {}
@@ -124,7 +118,7 @@
             moved = self._move(answer, now)
             if moved:
                 return actions + moved
-        actions.append(self._await_token(answer, answer.pace.stall_timeout, now))
+        actions.append(await_token(answer, answer.pace.stall_timeout, now))
         return actions
 
     def merge_end(self, event: AttemptEnded, now: float) -> list[Action]:
@@ -138,7 +132,7 @@
             return self._reject(answer, str(error), now)
         if answer.assembly.is_whole:
             return self._end(answer, now)
-        return [self._await_token(answer, END_TIMEOUT, now)]
+        return [await_token(answer, END_TIMEOUT, now)]
 
     def merge_failure(self, event: AttemptFailed, now: float) -> list[Action]:
         """Go on with another chain after a failure."""
@@ -167,7 +161,9 @@
         for answer in list(self._answers.values()):
             if self._quarantine.check(answer.chat.fingerprint, now) <= 0:
                 continue
-            actions.extend(self._give_up(answer, self._describe_block(answer, now)))
+            actions.extend(
+                self._give_up(answer, self._dispatcher.describe_block(answer, now))
+            )
         return actions
 
     def fire(self, timer: str, now: float) -> list[Action]:
@@ -209,9 +205,6 @@
             answer.healthy_at = now
             self._passages.record(answer.chain, now)
 
-    def _await_token(self, answer: Answer, timeout: float, now: float) -> Action:
-        return SetTimer(f"answer-stall:{answer.request}", now + timeout)
-
     def _suspect_stall(self, answer: Answer, now: float) -> list[Action]:
         if answer.chain is None:
             return []
@@ -223,7 +216,7 @@
         actions, finding = self._diagnosis.begin(answer.request, answer.chain, now)
         if finding is not None:
             return self._follow_finding(finding, now)
-        actions.append(self._await_token(answer, PROBE_TIMEOUT + PROBE_GRACE, now))
+        actions.append(await_token(answer, PROBE_TIMEOUT + PROBE_GRACE, now))
         return actions
 
     def _follow_finding(self, finding: Finding, now: float) -> list[Action]:
@@ -240,7 +233,7 @@
             if moved:
                 return moved
         timeout = max(answer.pace.stall_timeout, FIRST_TOKEN_TIMEOUT - waited)
-        return [self._await_token(answer, timeout, now)]
+        return [await_token(answer, timeout, now)]
 
     def _leave_dead(
         self, found: Answer, dead: frozenset[str], now: float
@@ -283,79 +276,26 @@
         return actions
 
     def _go_on(self, answer: Answer, now: float, backoff: float = 0.0) -> list[Action]:
-        """Start the next attempt as soon as it may start."""
-        fingerprint = answer.chat.fingerprint
-        if self._quarantine.check(fingerprint, now) > 0:
-            return self._give_up(answer, self._describe_block(answer, now))
-        delay = max(backoff, self._quarantine.measure_delay(fingerprint, now))
-        if delay > 0:
-            return [self._retry_later(answer, delay, now)]
-        plan = self._recovery.plan(answer, now)
-        if isinstance(plan, Later):
-            return [self._retry_later(answer, plan.delay, now)]
-        if plan is None or not self._recovery.check(answer, plan.chain, now):
-            return self._await_chain(answer, now)
-        if not self._recovery.pay(plan, now):
-            return [self._retry_later(answer, BUDGET_PERIOD, now)]
-        return self._dispatch(answer, plan, now)
-
-    def _retry_later(self, answer: Answer, delay: float, now: float) -> Action:
-        return SetTimer(f"answer-retry:{answer.request}", now + delay)
-
-    def _await_chain(self, answer: Answer, now: float) -> list[Action]:
-        """Wait for a chain where one is expected, else give up at once."""
-        if answer.waits_since is None:
-            answer.waits_since = now
-        waited = now - answer.waits_since
-        expected = answer.ran or self._recovery.is_chain_expected(answer, now)
-        if expected and waited < NO_CHAIN_WAIT:
-            return [self._retry_later(answer, NO_CHAIN_PERIOD, now)]
-        return self._give_up(answer, refuse_unreachable(answer.run_state))
+        """Start the next attempt as soon as it may start, or give up."""
+        outcome = self._dispatcher.go_on(answer, now, backoff)
+        if isinstance(outcome, Problem):
+            return self._give_up(answer, outcome)
+        return outcome
 
     def _move(self, answer: Answer, now: float) -> list[Action]:
         """Leave a slow chain for another; empty if there is none or no budget."""
-        if answer.chain is None or now - answer.moved_at < MOVE_PERIOD:
+        if answer.chain is None:
             return []
         blamed = self._passages.find_blamed(answer.chain, answer.healthy_at)
-        plan = self._recovery.plan(answer, now, blamed)
-        if not isinstance(plan, Plan) or blamed & set(plan.chain.upstreams):
-            return []
-        if not self._recovery.check(answer, plan.chain, now):
-            return []
-        if not self._recovery.pay(plan, now):
-            return []
-        answer.moved_at = now
-        fields = {"request": answer.request, "blamed": sorted(blamed)}
-        actions: list[Action] = [LogDecision("chain_slow", fields)]
-        if len(blamed) == 1:
-            actions.extend(self._membership.mark_slow(next(iter(blamed)), now))
-        actions.extend(self._stop_attempt(answer, keep_cache=True))
-        answer.end_attempt(Stalled(), None)
-        actions.extend(self._dispatch(answer, plan, now))
-        return actions
-
-    def _dispatch(self, answer: Answer, plan: Plan, now: float) -> list[Action]:
-        answer.start(plan.chain, now)
-        self._selector.start(plan.chain)
-        actions: list[Action] = [
-            describe_attempt(answer, plan.chain, plan.work),
-            make_attempt(answer, plan.chain),
-        ]
-        fingerprint = answer.chat.fingerprint
-        actions.extend(self._quarantine.place(fingerprint, plan.placed, now))
-        actions.append(self._await_token(answer, answer.pace.stall_timeout, now))
-        return actions
-
-    def _describe_block(self, answer: Answer, now: float) -> Problem:
-        remaining = self._quarantine.check(answer.chat.fingerprint, now)
-        return refuse_blocked(remaining, answer.run_state)
+        if not blamed and not answer.fresh:
+            return []  # others pass it: the answer waits in an engine's queue
+        self._diagnosis.forget(answer.request)
+        blamed = blamed or frozenset(answer.chain.upstreams)
+        return self._dispatcher.move(answer, blamed, now)
 
     def _stop_attempt(self, answer: Answer, keep_cache: bool = False) -> list[Action]:
         self._diagnosis.forget(answer.request)
-        if answer.chain is None:
-            return []
-        self._selector.finish(answer.chain)
-        return [CancelAttempt(answer.request, answer.attempt, answer.chain, keep_cache)]
+        return self._dispatcher.stop(answer, keep_cache)
 
     def _end(self, answer: Answer, now: float) -> list[Action]:
         end = answer.assembly.end
--- a/src/tarragonrudder/core/passage.py
+++ b/src/tarragonrudder/core/passage.py
@@ -34,7 +34,7 @@
         for source, target in zip(names, names[1:], strict=False):
             if self._links.get((source, target), since) <= since:
                 blamed.append(target)
-        return frozenset(blamed or names)
+        return frozenset(blamed)
 
     def tick(self, now: float) -> None:
         """Forget old passages."""
