--- a/src/tarragonrudder/core/gossip.py
+++ b/src/tarragonrudder/core/gossip.py
@@ -15,7 +15,7 @@
 
 FANOUT = 3  # peers in one round
 ROUNDS = 5  # rounds in which a node passes a fact on
-ROUND_PERIOD = 0.2  # seconds
+ROUND_PERIOD = 0.1  # seconds
 BYTES_PER_SECOND = 1500.0  # spent on gossip in the long run
 BURST_BYTES = 64_000.0
 MESSAGE_OVERHEAD = 350  # bytes of one message beside its facts
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tarragonrudder.core.action import (
     Action,
@@ -12,20 +12,22 @@
     StopNode,
 )
 from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket
-from tarragonrudder.core.adoption import Adoption
 from tarragonrudder.core.answer import Answers
 from tarragonrudder.core.budget import RetryBudget, WorkBudget
 from tarragonrudder.core.call import Calls
+from tarragonrudder.core.configuration import ConfigurationControl
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
     CacheChanged,
     CallerGone,
     ChatRequested,
-    ConfigurationRead,
     Event,
+    HoldingRead,
+    LeaseGranted,
     LoadReported,
     NodesListed,
+    OrderAnswered,
     OutcomeRead,
     PeerLost,
     PeerReached,
@@ -55,6 +57,7 @@
     RecordSubmitted,
     UpstreamLeaving,
 )
+from tarragonrudder.core.planner import Planner, PlannerEvent
 from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
@@ -97,13 +100,14 @@
         self._options = options
         self._stop_at: float | None = None
         self._chats: dict[str, ChatRequested] = {}
-        self._accounts: dict[str, ClientAccount] = {}
-        self.adoption = Adoption()
+        self.control = ConfigurationControl(options.name, source)
+        self.adoption = self.control.adoption
         self.gossip = Gossip(source)
         self.membership = Membership(options.name, self.gossip)
         self.selector = Selector(options.data_center, source)
         self.limits = Limits(options.name)
         self.admission = Admission()
+        self.planner = Planner(options.name, self.membership)
         self.quarantine = Quarantine(self.gossip)
         self.budget = RetryBudget()
         self.work_budget = WorkBudget()
@@ -122,6 +126,11 @@
         """Whether the balancer may send work."""
         return self._stop_at is None and self.configuration.generation > 0
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the node was told to shut down."""
+        return self._stop_at is not None
+
     @property
     def in_flight(self) -> int:
         """Requests that have not ended."""
@@ -129,7 +138,9 @@
 
     def start(self, now: float) -> list[Action]:
         """Begin periodic work."""
-        return [SetTimer("tick", now + TICK_PERIOD)]
+        actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
+        actions.extend(self.control.start(now))
+        return actions
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Decide what to do about an event.
@@ -152,6 +163,8 @@
         return actions
 
     def _dispatch(self, event: Event, now: float) -> list[Action]:
+        if self.control.handles(event):
+            return self._control(event, now)
         match event:
             case TokensArrived():
                 return self.answers.merge_tokens(event, now)
@@ -183,10 +196,10 @@
                 return actions
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
-                self.limits.set_nodes(event.nodes)
+                self.limits.set_nodes(event.nodes, now)
+                self.planner.set_nodes(node.name for node in event.nodes)
+                self.control.set_nodes(event)
                 self.calls.recorder.set_nodes(event.nodes)
-            case ConfigurationRead():
-                return self._adopt(event.configuration)
             case (
                 PlatformValue()
                 | Swapped()
@@ -196,9 +209,21 @@
             ) if event.tag.startswith("record:"):
                 return self.calls.recorder.handle_platform(event, now)
             case PeerLost(message=message):
+                self.limits.handle_lost(event.node, message, now)
                 return self.calls.recorder.handle_lost(message, now)
             case PeerReached():
                 return self._hear(event, now)
+            case OrderAnswered() | HoldingRead():
+                return self.planner.handle(event, now)
+            case (
+                LeaseGranted()
+                | PlatformFailed()
+                | PlatformValue()
+                | SwapConflicted()
+                | SwapLost()
+                | Swapped()
+            ) if event.tag.startswith("planner-"):
+                return self._handle_planner(event, now)
             case TimerFired():
                 return self._fire(event.timer, now)
             case StopRequested():
@@ -206,7 +231,7 @@
         return []
 
     def _accept_chat(self, chat: ChatRequested, now: float) -> list[Action]:
-        account = self._accounts.get(chat.account)
+        account = self.adoption.index.find_account(chat.account)
         model = None
         for route in self.configuration.model_routes:
             if route.name == chat.route:
@@ -244,7 +269,7 @@
         return []
 
     def _accept_service(self, event: ServiceRequested, now: float) -> list[Action]:
-        account = self._accounts.get(event.account)
+        account = self.adoption.index.find_account(event.account)
         if account is None:
             return [FailAnswer(event.request, NotFound("the account is gone"))]
         actions = self._check_gates(event.request, account, now)
@@ -276,18 +301,33 @@
             self.admission.release(request, 0, now)
         return actions
 
-    def _adopt(self, configuration: Configuration) -> list[Action]:
-        actions = self.adoption.offer(configuration)
-        if not actions:
+    def _control(self, event: Event, now: float) -> list[Action]:
+        before = self.configuration
+        actions = self.control.handle(event, now)
+        configuration = self.configuration
+        if configuration is before:
             return actions
-        self._accounts = {account.name: account for account in configuration.accounts}
-        self.selector.configure(configuration)
+        self.planner.configure(configuration)
+        self._place_engines()
+        self.limits.configure(self.adoption.index.accounts)
         self.admission.configure(configuration)
-        self.membership.configure(configuration.engines)
-        self.answers.configure(configuration.engines)
         self.calls.configure(configuration)
         return actions
 
+    def _handle_planner(self, event: PlannerEvent, now: float) -> list[Action]:
+        before = self.planner.revision
+        actions = self.planner.handle(event, now)
+        if self.planner.revision != before:
+            self._place_engines()
+        return actions
+
+    def _place_engines(self) -> None:
+        """Use the engines as the placement record has them."""
+        engines = self.planner.place_engines()
+        self.membership.configure(engines)
+        self.selector.configure(replace(self.configuration, engines=engines))
+        self.answers.configure(engines)
+
     def _hear(self, event: PeerReached, now: float) -> list[Action]:
         match event.message:
             case Facts(facts=facts):
@@ -315,6 +355,7 @@
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
+            actions.extend(self.planner.tick(now))
             actions.extend(self.membership.tick(now))
             self.quarantine.tick(now)
             self.answers.tick(now)
@@ -335,7 +376,8 @@
 
     def _settle(self, now: float) -> list[Action]:
         """End what has ended and start what may start now."""
-        actions = self.calls.keyed.settle(now)
+        actions = self.limits.flush(now)
+        actions.extend(self.calls.keyed.settle(now))
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
             self.admission.release(request, tokens, now)
--- a/src/tarragonrudder/core/quarantine.py
+++ b/src/tarragonrudder/core/quarantine.py
@@ -20,10 +20,10 @@
 QUARANTINE_PERIOD = 300.0  # seconds that a fingerprint is refused
 SUSPECT_PERIOD = 60.0  # seconds after a crash
 PLACED_PERIOD = 20.0  # seconds that a peer's word of a placement holds
-HEARING_DELAY = 0.25  # seconds in which peers' word of the same crash comes
+HEARING_DELAY = 0.3  # seconds in which peers' word of the same crash comes
 MAX_DENIALS = 2  # crashes of a request in a row that a probe may take back
 DENIAL_PERIOD = 0.6  # seconds after a crash in which no engine is back
-INFRASTRUCTURE_CRASHES = 3  # other upstreams whose crash excuses suspects
+INFRASTRUCTURE_CRASHES = 5  # other upstreams whose crash excuses suspects
 INFRASTRUCTURE_PERIOD = 2.0  # seconds in which they crash
 EXPLAINED_PERIOD = 2.0  # seconds around a block in which a crash is explained
 MIN_DELAY = 0.01  # seconds between looks at a suspect that is due
@@ -288,11 +288,26 @@
         culprits = []
         for key, suspect in due.items():
             last = _find_last(suspect)
-            strong = [name for name, item in due.items() if last in item.strong]
-            if strong == [key]:
+            if self._find_rivals(last) == [key]:
                 culprits.append(key)
         return culprits
 
+    def _find_rivals(self, upstream: str) -> list[str]:
+        """Return the suspects that may have caused an upstream's crash."""
+        rivals = []
+        for key, suspect in self._suspects.items():
+            twice = len(suspect.crashes) >= CRASHES_TO_BLOCK
+            if twice and upstream in suspect.strong:
+                rivals.append(key)
+        if len(rivals) == 1:
+            return rivals
+        # Those whose tokens came before an earlier crash are less likely.
+        likely = []
+        for key in rivals:
+            if self._suspects[key].strong >= self._suspects[key].crashes.keys():
+                likely.append(key)
+        return likely
+
     def _count_unexplained(self, now: float) -> int:
         """Count recent crashes that no twice crashed suspect explains."""
         recent = set()
--- a/src/tarragonrudder/core/recorder.py
+++ b/src/tarragonrudder/core/recorder.py
@@ -25,13 +25,15 @@
     Swapped,
 )
 from tarragonrudder.core.message import RecordDecided, RecordSubmitted
-from tarragonrudder.core.ownership import find_owner
+from tarragonrudder.core.ownership import assign_owners
 from tarragonrudder.core.record import (
     Command,
+    Record,
     decode_command,
     decode_record,
     encode_command,
     encode_record,
+    make_state,
 )
 from tarragonrudder.core.shard import (
     Decided,
@@ -42,6 +44,7 @@
 )
 
 KEY_PREFIX = "/tarragonrudder/records/"
+AS_COMMANDED = "="
 FORWARD_TIMEOUT = 0.8  # seconds for the owner's decision
 OWNER_DEADLINE = 2.0  # seconds for which an owner tries a peer's command
 AVOID_PERIOD = 5.0  # seconds without commands for an owner that did not answer
@@ -64,7 +67,7 @@
         self._name = name
         self._options = options
         self._nodes: tuple[str, ...] = ()
-        self._owners: dict[int, str | None] = {}
+        self._owners: dict[str, str] = {}
         self._shards: dict[int, Shard] = {}
         self._forwarded: dict[str, _Forwarded] = {}
         self._origins: dict[str, str] = {}
@@ -77,10 +80,14 @@
         if names == self._nodes:
             return
         self._nodes = names
-        self._owners = {}
+        shards = [_name_shard(number) for number in range(self._options.shards)]
+        if len(names) > self._options.direct_nodes:
+            self._owners = assign_owners(shards, names)
+        else:
+            self._owners = {}
         # What this node owns no more need not be kept in memory.
         for number, shard in list(self._shards.items()):
-            if len(shard) == 0 and self._find_owner(number) != self._name:
+            if len(shard) == 0 and self._owners.get(_name_shard(number)) != self._name:
                 del self._shards[number]
 
     def take_decided(self) -> list[Decided]:
@@ -95,7 +102,7 @@
         """Have a command decided; ``take_decided`` returns the outcome."""
         queued = Queued(ticket, command, deadline, now)
         number = find_shard(command.identity, self._options)
-        owner = self._find_owner(number)
+        owner = self._owners.get(_name_shard(number))
         avoided = self._avoided.get(owner or "", -math.inf) > now
         if owner is None or owner == self._name or avoided:
             return self._work(number, queued, now)
@@ -142,11 +149,11 @@
                 if forwarded is None or forwarded.owner != node:
                     return []
                 try:
-                    record = decode_record(line) if line else None
+                    record = _decode_decision(line, forwarded.queued.command, now)
                 except ValueError as error:
                     return [_log_damaged(node, error)]
                 del self._forwarded[ticket]
-                self._decided.append(Decided(ticket, record))
+                self._decided.append(Decided(ticket, forwarded.queued.command, record))
                 return [ClearTimer(f"record-forward:{ticket}")]
 
     def handle_lost(self, message: object, now: float) -> list[Action]:
@@ -200,14 +207,30 @@
                 self._decided.append(decided)
                 continue
             record = decided.record
-            line = encode_record(record) if record is not None else ""
+            line = _encode_decision(record, decided.command)
             actions.append(SendPeer(origin, RecordDecided(decided.ticket, line)))
         return actions
 
-    def _find_owner(self, number: int) -> str | None:
-        if number not in self._owners:
-            self._owners[number] = find_owner(f"records/{number}", self._nodes)
-        return self._owners[number]
+
+def _name_shard(number: int) -> str:
+    return f"records/{number}"
+
+
+def _encode_decision(record: Record | None, command: Command) -> str:
+    """Return a decision for the wire; one as commanded needs no record."""
+    if record is None:
+        return ""
+    if record.digest == command.digest and record.state == make_state(command):
+        return AS_COMMANDED
+    return encode_record(record)
+
+
+def _decode_decision(line: str, command: Command, now: float) -> Record | None:
+    if not line:
+        return None
+    if line == AS_COMMANDED:
+        return Record(command.identity, command.digest, now, make_state(command))
+    return decode_record(line)
 
 
 def _log_damaged(node: str, error: ValueError) -> LogDecision:
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -23,7 +23,10 @@
 from tarragonrudder.core.node import Node
 from tarragonrudder.edges.clock import Clock
 from tarragonrudder.edges.engine import EngineClient
+from tarragonrudder.edges.exchange import ExchangeClient
+from tarragonrudder.edges.loader import ConfigurationLoader
 from tarragonrudder.edges.metrics import Metrics
+from tarragonrudder.edges.order import OrderClient
 from tarragonrudder.edges.peer import PeerClient
 from tarragonrudder.edges.platform import (
     PlatformAnswerLost,
@@ -31,6 +34,7 @@
     PlatformError,
 )
 from tarragonrudder.edges.service import ServiceClient, ServiceInput
+from tarragonrudder.edges.store import ConfigurationStore
 from tarragonrudder.edges.timer import Timers
 
 Output: t.TypeAlias = (
@@ -52,6 +56,7 @@
         logger: logging.Logger,
         metrics: Metrics,
         peers: PeerClient,
+        exchange: ExchangeClient,
     ) -> None:
         self.node = node
         self.stopped = trio.Event()
@@ -61,7 +66,11 @@
         self._metrics = metrics
         self._engines = EngineClient(self.post)
         self._services = ServiceClient(self.post, clock.now)
+        self._orders = OrderClient(self.post)
         self._peers = peers
+        self.loader = ConfigurationLoader(
+            ConfigurationStore(platform), exchange, self.post
+        )
         self._outputs: dict[str, trio.MemorySendChannel[Output]] = {}
         self._inputs: dict[str, ServiceInput] = {}
         self._attempts: dict[tuple[str, int], trio.CancelScope] = {}
@@ -78,7 +87,9 @@
         """Close all clients."""
         await self._engines.close()
         await self._services.close()
+        await self._orders.close()
         await self._peers.close()
+        await self.loader.close()
 
     async def wait_stopped(self) -> None:
         """Wait until the core has stopped and the last output was taken."""
@@ -90,6 +101,7 @@
         """Give the core an event and carry out what it decides."""
         if isinstance(event, NodesListed):
             self._peers.set_nodes(event.nodes)
+            self.loader.set_nodes(event.nodes)
         self._carry_out(self.node.handle(event, self._clock.now()))
 
     def open_request(
@@ -138,6 +150,16 @@
                 self._spawn(self._swap, action)
             case actions.GrantLease():
                 self._spawn(self._grant, action)
+            case actions.SendOrder():
+                self._spawn(self._orders.send, action)
+            case actions.ReadHolding():
+                self._spawn(self._orders.read, action)
+            case actions.LoadConfiguration():
+                self._spawn(self.loader.load, action)
+            case actions.CheckFolder():
+                self._spawn(self.loader.check, action)
+            case actions.AskPeers():
+                self._spawn(self.loader.ask_peers)
             case actions.SendPeer():
                 self._spawn(self._send_peer, action)
             case actions.LogDecision():
@@ -203,7 +225,11 @@
     async def _swap(self, action: actions.SwapPlatform) -> None:
         try:
             revision = await self._platform.swap(
-                action.key, action.expected, action.value, action.lease
+                action.key,
+                action.expected,
+                action.value,
+                action.lease,
+                action.guards,
             )
         except PlatformError:
             self.post(PlatformFailed(action.tag, action.key))
