--- a/src/tarragonrudder/core/recorder.py
+++ b/src/tarragonrudder/core/recorder.py
@@ -77,11 +77,10 @@
         if names == self._nodes:
             return
         self._nodes = names
-        shards = [_name_shard(number) for number in range(self._options.shards)]
+        self._owners = {}
         if len(names) > self._options.direct_nodes:
+            shards = [_name_shard(number) for number in range(self._options.shards)]
             self._owners = assign_owners(shards, names)
-        else:
-            self._owners = {}
         # What this node owns no more need not be kept in memory.
         for number, shard in list(self._shards.items()):
             if len(shard) == 0 and self._owners.get(_name_shard(number)) != self._name:
