--- a/src/tarragonrudder/core/action.py
+++ b/src/tarragonrudder/core/action.py
@@ -39,11 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Close an attempt's stream and tell its stages to drop it."""
+    """Close an attempt's stream and tell its stages to drop it.
+
+    Attributes
+    ----------
+    keep_cache : bool
+        Whether the stages hold its KV cache for the next attempt.
+    """
 
     request: str
     attempt: int
     chain: Chain
+    keep_cache: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +155,14 @@
     key: str
 
 
+@dataclass(frozen=True, slots=True)
+class Guard:
+    """A key that must still have a modification revision for a write to stand."""
+
+    key: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class SwapPlatform:
     """Write one key if its modification revision is still `expected`.
@@ -158,6 +173,8 @@
         0 if the key must not exist.
     lease : int
         Lease that the key is bound to, 0 for none.
+    guards : tuple of Guard
+        Other keys compared in the same transaction.
     """
 
     tag: str
@@ -165,6 +182,27 @@
     expected: int
     value: bytes
     lease: int = 0
+    guards: tuple[Guard, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadConfiguration:
+    """Read and build the contents of an accepted generation."""
+
+    generation: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class CheckFolder:
+    """Read the operators' folder and check it as a whole."""
+
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskPeers:
+    """Ask all known nodes for the generation that they have in force."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +251,15 @@
     timeout: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReadHolding:
+    """Ask an engine what it holds."""
+
+    upstream: str
+    address: str
+    timeout: float
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Fire `timer` at a time; a second one of the same name replaces it."""
@@ -270,8 +317,12 @@
     | ReadPlatform
     | SwapPlatform
     | GrantLease
+    | LoadConfiguration
+    | CheckFolder
+    | AskPeers
     | SendPeer
     | SendOrder
+    | ReadHolding
     | SetTimer
     | ClearTimer
     | LogDecision
--- a/src/tarragonrudder/core/fleet.py
+++ b/src/tarragonrudder/core/fleet.py
@@ -55,6 +55,9 @@
         Answers that the engine runs at once.
     checks_fencing : bool
         Whether an order with an old fencing number is refused.
+    movable : bool
+        Whether the planner may order it to hold other layers, another model
+        or version; its configured ones are then what it starts with.
     """
 
     name: str
@@ -67,6 +70,7 @@
     layer_tokens_per_second: float = 1000.0
     batch_limit: int = 32
     checks_fencing: bool = False
+    movable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +95,14 @@
 Upstream: t.TypeAlias = Engine | Service
 
 
+@dataclass(frozen=True, slots=True)
+class DataCenter:
+    """A data centre and the region that it lies in."""
+
+    name: str
+    region: str = "default"
+
+
 @dataclass(frozen=True, slots=True)
 class Link:
     """A link between two data centres, the same in both directions.
@@ -241,6 +253,7 @@
     service_routes: tuple[ServiceRoute, ...] = ()
     busy_hours: tuple[BusyHours, ...] = ()
     weight_store: WeightStore = field(default_factory=WeightStore)
+    data_centers: tuple[DataCenter, ...] = ()
 
     def find_model(self, name: str, version: str) -> Model | None:
         """Return the model version, or None."""
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tarragonrudder.core.action import (
     Action,
@@ -12,20 +12,22 @@
     StopNode,
 )
 from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket
-from tarragonrudder.core.adoption import Adoption
 from tarragonrudder.core.answer import Answers
-from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.budget import RetryBudget, WorkBudget
 from tarragonrudder.core.call import Calls
+from tarragonrudder.core.configuration import ConfigurationControl
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
     CacheChanged,
     CallerGone,
     ChatRequested,
-    ConfigurationRead,
     Event,
+    HoldingRead,
+    LeaseGranted,
     LoadReported,
     NodesListed,
+    OrderAnswered,
     OutcomeRead,
     PeerLost,
     PeerReached,
@@ -40,22 +42,29 @@
     Swapped,
     TimerFired,
     TokensArrived,
+    UpstreamProbed,
     VmsListed,
 )
 from tarragonrudder.core.fleet import ClientAccount, Configuration
+from tarragonrudder.core.gossip import TIMER as GOSSIP_TIMER
+from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.layout import RecordOptions
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.message import (
-    FingerprintBlocked,
+    Fact,
+    Facts,
     RecordDecided,
     RecordSubmitted,
     UpstreamLeaving,
 )
+from tarragonrudder.core.observation import AttemptObserver
+from tarragonrudder.core.planner import Planner, PlannerEvent
+from tarragonrudder.core.plans import Plans
+from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
 from tarragonrudder.errors import (
-    DeadlineExceeded,
     NotFound,
     Quarantined,
     RateLimited,
@@ -88,20 +97,30 @@
 class Node:
     """The decisions of one node; the driver translates its actions."""
 
-    def __init__(self, options: NodeOptions, source: random.Random) -> None:
+    def __init__(
+        self,
+        options: NodeOptions,
+        source: random.Random,
+        make_selector: t.Callable[..., Selector] = Selector,
+    ) -> None:
         self._options = options
         self._stop_at: float | None = None
         self._chats: dict[str, ChatRequested] = {}
-        self._accounts: dict[str, ClientAccount] = {}
-        self.adoption = Adoption()
-        self.membership = Membership(options.name)
-        self.selector = Selector(options.data_center, source)
+        self.control = ConfigurationControl(options.name, source)
+        self.adoption = self.control.adoption
+        self.gossip = Gossip(source)
+        self.membership = Membership(options.name, self.gossip)
+        plans = Plans()
+        self.selector = make_selector(options.data_center, source, plans)
         self.limits = Limits(options.name)
-        self.admission = Admission()
-        self.quarantine = Quarantine()
+        self.admission = Admission(plans)
+        self.observer = AttemptObserver()
+        self.planner = Planner(options.name, self.membership)
+        self.quarantine = Quarantine(self.gossip)
         self.budget = RetryBudget()
+        self.work_budget = WorkBudget()
         self.answers = Answers(
-            self.membership, self.selector, self.quarantine, self.budget
+            self.membership, self.selector, self.quarantine, self.work_budget
         )
         self.calls = Calls(self.membership, self.budget, options.name, options.records)
 
@@ -115,6 +134,11 @@
         """Whether the balancer may send work."""
         return self._stop_at is None and self.configuration.generation > 0
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the node was told to shut down."""
+        return self._stop_at is not None
+
     @property
     def in_flight(self) -> int:
         """Requests that have not ended."""
@@ -122,7 +146,9 @@
 
     def start(self, now: float) -> list[Action]:
         """Begin periodic work."""
-        return [SetTimer("tick", now + TICK_PERIOD)]
+        actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
+        actions.extend(self.control.start(now))
+        return actions
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Decide what to do about an event.
@@ -139,11 +165,25 @@
         list of Action
             To be carried out in order.
         """
+        self._observe(event, now)
         actions = self._dispatch(event, now)
+        actions.extend(self.answers.refuse_blocked(now))
         actions.extend(self._settle(now))
+        self.observer.note_actions(actions, now)
         return actions
 
+    def _observe(self, event: Event, now: float) -> None:
+        """Learn from the pace of tokens how busy the fleet is."""
+        observation = self.observer.note_event(event, now)
+        if observation is None:
+            return
+        self.admission.observe(observation)
+        if not observation.first:
+            self.selector.observe_gap(observation.chain, observation.seconds, now)
+
     def _dispatch(self, event: Event, now: float) -> list[Action]:
+        if self.control.handles(event):
+            return self._control(event, now)
         match event:
             case TokensArrived():
                 return self.answers.merge_tokens(event, now)
@@ -168,13 +208,19 @@
             case CacheChanged():
                 self.selector.merge_cache(event, now)
             case VmsListed():
-                self.membership.merge_vms(event)
+                return self.membership.merge_vms(event, now)
+            case UpstreamProbed():
+                actions = self.answers.merge_probe(event, now)
+                actions.extend(self.membership.merge_probe(event, now))
+                return actions
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
-                self.limits.set_nodes(event.nodes)
+                self.limits.set_nodes(event.nodes, now)
+                self.planner.set_nodes(node.name for node in event.nodes)
+                self.control.set_nodes(event)
+                self.admission.set_node_count(len(event.nodes))
+                self.selector.set_node_count(len(event.nodes))
                 self.calls.recorder.set_nodes(event.nodes)
-            case ConfigurationRead():
-                return self._adopt(event.configuration)
             case (
                 PlatformValue()
                 | Swapped()
@@ -184,9 +230,21 @@
             ) if event.tag.startswith("record:"):
                 return self.calls.recorder.handle_platform(event, now)
             case PeerLost(message=message):
+                self.limits.handle_lost(event.node, message, now)
                 return self.calls.recorder.handle_lost(message, now)
             case PeerReached():
                 return self._hear(event, now)
+            case OrderAnswered() | HoldingRead():
+                return self.planner.handle(event, now)
+            case (
+                LeaseGranted()
+                | PlatformFailed()
+                | PlatformValue()
+                | SwapConflicted()
+                | SwapLost()
+                | Swapped()
+            ) if event.tag.startswith("planner-"):
+                return self._handle_planner(event, now)
             case TimerFired():
                 return self._fire(event.timer, now)
             case StopRequested():
@@ -194,7 +252,7 @@
         return []
 
     def _accept_chat(self, chat: ChatRequested, now: float) -> list[Action]:
-        account = self._accounts.get(chat.account)
+        account = self.adoption.index.find_account(chat.account)
         model = None
         for route in self.configuration.model_routes:
             if route.name == chat.route:
@@ -232,7 +290,7 @@
         return []
 
     def _accept_service(self, event: ServiceRequested, now: float) -> list[Action]:
-        account = self._accounts.get(event.account)
+        account = self.adoption.index.find_account(event.account)
         if account is None:
             return [FailAnswer(event.request, NotFound("the account is gone"))]
         actions = self._check_gates(event.request, account, now)
@@ -264,28 +322,50 @@
             self.admission.release(request, 0, now)
         return actions
 
-    def _adopt(self, configuration: Configuration) -> list[Action]:
-        actions = self.adoption.offer(configuration)
-        if not actions:
+    def _control(self, event: Event, now: float) -> list[Action]:
+        before = self.configuration
+        actions = self.control.handle(event, now)
+        configuration = self.configuration
+        if configuration is before:
             return actions
-        self._accounts = {account.name: account for account in configuration.accounts}
-        self.selector.configure(configuration)
+        self.planner.configure(configuration)
+        self._place_engines()
+        self.limits.configure(self.adoption.index.accounts)
         self.admission.configure(configuration)
-        self.answers.configure(configuration.engines)
         self.calls.configure(configuration)
         return actions
 
+    def _handle_planner(self, event: PlannerEvent, now: float) -> list[Action]:
+        before = self.planner.revision
+        actions = self.planner.handle(event, now)
+        if self.planner.revision != before:
+            self._place_engines()
+        return actions
+
+    def _place_engines(self) -> None:
+        """Use the engines as the placement record has them."""
+        engines = self.planner.place_engines()
+        self.membership.configure(engines)
+        self.selector.configure(replace(self.configuration, engines=engines))
+        self.answers.configure(engines)
+
     def _hear(self, event: PeerReached, now: float) -> list[Action]:
         match event.message:
-            case UpstreamLeaving(upstream=upstream):
-                return self.membership.mark_leaving(upstream, now, announce=False)
-            case FingerprintBlocked() as message:
-                self.quarantine.merge(message, now)
-                return []
+            case Facts(facts=facts):
+                actions: list[Action] = []
+                for fact in facts:
+                    actions.extend(self._learn(fact, now))
+                return actions
             case RecordSubmitted() | RecordDecided() as message:
                 return self.calls.recorder.handle_peer(event.node, message, now)
         return self.limits.handle_peer(event.node, event.message, now)
 
+    def _learn(self, fact: Fact, now: float) -> list[Action]:
+        match fact:
+            case UpstreamLeaving(upstream=upstream, age=age):
+                return self.membership.mark_leaving(upstream, now, age)
+        return self.quarantine.merge(fact, now)
+
     def _fire(self, timer: str, now: float) -> list[Action]:
         if timer.startswith("answer-"):
             return self.answers.fire(timer, now)
@@ -296,7 +376,15 @@
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
+            actions.extend(self.planner.tick(now))
+            actions.extend(self.membership.tick(now))
+            self.quarantine.tick(now)
+            self.answers.tick(now)
             return actions
+        if timer == GOSSIP_TIMER:
+            return self.gossip.fire(now)
+        if timer == QUARANTINE_TIMER:
+            return self.quarantine.fire(now)
         return []
 
     def _stop(self, now: float) -> list[Action]:
@@ -309,12 +397,14 @@
 
     def _settle(self, now: float) -> list[Action]:
         """End what has ended and start what may start now."""
-        actions = self.calls.keyed.settle(now)
+        actions = self.limits.flush(now)
+        actions.extend(self.calls.keyed.settle(now))
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
+            self.observer.forget(request)
             self.admission.release(request, tokens, now)
         for ticket in self.admission.take_expired(now):
-            problem = DeadlineExceeded("it waited too long; send it again")
+            problem = self.admission.refuse(ticket, now)
             actions.append(FailAnswer(ticket.request, problem))
             self._chats.pop(ticket.request, None)
         for ticket in self.admission.take_ready(now):
