--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -48,6 +48,7 @@
 from tarragonrudder.core.fleet import ClientAccount, Configuration
 from tarragonrudder.core.gossip import TIMER as GOSSIP_TIMER
 from tarragonrudder.core.gossip import Gossip
+from tarragonrudder.core.layout import RecordOptions
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.message import (
@@ -63,7 +64,6 @@
 from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
-from tarragonrudder.core.shard import RecordOptions
 from tarragonrudder.errors import (
     NotFound,
     Quarantined,
