--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -311,7 +311,6 @@
         self._place_engines()
         self.limits.configure(self.adoption.index.accounts)
         self.admission.configure(configuration)
-        self.membership.configure(configuration.engines)
         self.calls.configure(configuration)
         return actions
 
@@ -325,6 +324,7 @@
     def _place_engines(self) -> None:
         """Use the engines as the placement record has them."""
         engines = self.planner.place_engines()
+        self.membership.configure(engines)
         self.selector.configure(replace(self.configuration, engines=engines))
         self.answers.configure(engines)
 
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -11,8 +11,8 @@
 AREAS: tuple[t.Callable[[], list[Cell]], ...] = (
     answers.list_cells,
     configuration.list_cells,
-    records.list_cells,
     placement.list_cells,
+    records.list_cells,
 )
 
 
