Give the planner's lease up at a planned stop; bear uneven peer messages

A stopping node went on as planner until it ended; now the next candidate takes over within the lease. A peer's message with columns of unequal length raised in the core.

--- a/src/tarragonrudder/core/limit.py
+++ b/src/tarragonrudder/core/limit.py
@@ -165,7 +165,7 @@
             case LimitGrant():
                 columns = (message.accounts, message.granted, message.shares)
                 for name, granted, share, retry in zip(
-                    *columns, message.retries, strict=True
+                    *columns, message.retries, strict=False
                 ):
                     self._merge(Grant(name, granted, share, retry), now)
         return []
@@ -281,7 +281,7 @@
             self._seen[node] = {n for n in seen if n > newest - SEQUENCE_WINDOW}
         grants = []
         columns = (message.accounts, message.used, message.wanted, message.rates)
-        for name, used, wanted, rate in zip(*columns, strict=True):
+        for name, used, wanted, rate in zip(*columns, strict=False):
             account = self._accounts.get(name)
             if account is None or repeated:
                 continue
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -372,6 +372,7 @@
         return [
             LogDecision("stop_requested", {"in_flight": self.in_flight}),
             SetTimer("stop", self._stop_at),
+            *self.planner.stop(),
         ]
 
     def _settle(self, now: float) -> list[Action]:
--- a/src/tarragonrudder/core/planner.py
+++ b/src/tarragonrudder/core/planner.py
@@ -114,6 +114,7 @@
         self._read_at = 0.0
         self._written_at = 0.0
         self._audited = 0
+        self._stopping = False
         self.lease = PlannerLease(name)
         self.transitions = Transitions(self.lease, membership)
 
@@ -136,6 +137,12 @@
         """Return the configured engines as the record places them."""
         return tuple(apply_placement(self._configuration.engines, self._record.placed))
 
+    def stop(self) -> list[Action]:
+        """Plan no more: another node takes over when the lease has lapsed."""
+        self._stopping = True
+        self.transitions.clear()
+        return self.lease.give_up("the node is shutting down")
+
     def tick(self, now: float) -> list[Action]:
         """Do the periodic work, once a second."""
         movable = self._list_movable()
@@ -144,6 +151,7 @@
             self._read_at = now
             actions.append(ReadPlatform(RECORD_TAG, RECORD_KEY))
         candidate = bool(movable) and self._name in self._candidates
+        candidate = candidate and not self._stopping
         actions.extend(self.lease.tick(now, candidate))
         if not self._check_lease(now):
             return actions
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -212,6 +212,13 @@
     assert len(owner.handle_peer(event.node, event.message, 0.0)) == 1
 
 
+def test_a_message_with_columns_of_unequal_length_does_no_harm() -> None:
+    owner = Limits("owner")
+    owner.configure({ACCOUNT: ClientAccount(ACCOUNT, (), 10.0, 10.0)})
+    message = LimitDemand(1, (ACCOUNT, "other"), (1.0,), (2.0,), ())
+    assert owner.handle_peer("node-1", message, 0.0) == []
+
+
 def test_only_shards_of_a_lost_node_move() -> None:
     names = [f"node-{index}" for index in range(20)]
     owners = Owners(256)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -123,6 +123,17 @@
         assert held[name] == fake.held.model
 
 
+def test_a_stopping_planner_hands_over() -> None:
+    def install(world: World) -> None:
+        def stop(now: float) -> None:
+            world.planners[world.find_holder(now) or ""].stop()
+
+        world.at(cells.ORDER_AT - 1.0, stop)
+
+    world = cells.run_cell(install, checks_fencing=False)
+    assert {entry.number > FIRST_NUMBER for entry in world.journal} == {True}
+
+
 def test_record_round_trip() -> None:
     placed = {"engine-1": Assignment("jury", "2", LayerRange(3, 7))}
     record = decode_record(encode_record(7, placed), 9)
