--- a/src/tarragonrudder/core/planner.py
+++ b/src/tarragonrudder/core/planner.py
@@ -4,7 +4,6 @@
 changes it. Nothing that serves a request waits for any of this.
 """
 
-import json
 import typing as t
 import zlib
 from dataclasses import dataclass, replace
@@ -26,7 +25,7 @@
     SwapLost,
     Swapped,
 )
-from tarragonrudder.core.fleet import Configuration, Engine, LayerRange
+from tarragonrudder.core.fleet import Configuration, Engine
 from tarragonrudder.core.lease import TAG as LEASE_TAG
 from tarragonrudder.core.lease import PlannerLease
 from tarragonrudder.core.membership import Membership
@@ -42,6 +41,7 @@
     list_served,
     plan_placement,
 )
+from tarragonrudder.core.placement_record import Record, decode_record, encode_record
 from tarragonrudder.core.rendezvous import rank_nodes
 from tarragonrudder.core.schedule import list_periods, sum_demand
 from tarragonrudder.core.transition import (
@@ -60,6 +60,7 @@
 PLAN_PERIOD = 10.0  # seconds
 FIRST_PLAN_DELAY = 3.0  # seconds in which engines tell a new planner what they hold
 PLAN_HORIZON = 24 * 3600.0  # seconds
+MAX_PLANS_KEPT = 32
 LOAD_MARGIN = 120.0  # seconds between the end of the loading and the peak
 SILENT_PERIOD = 30.0  # seconds after which an engine that says nothing is left
 AUDIT_PER_TICK = 8  # engines asked what they hold
@@ -78,20 +79,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Record:
-    """The placement that all nodes use.
-
-    Attributes
-    ----------
-    number : int
-        Fencing number of the planner that wrote it.
-    revision : int
-        The platform's revision, 0 if there is no record.
-    """
-
-    number: int
-    revision: int
-    placed: t.Mapping[str, Assignment]
+class _Inputs:
+    configuration: Configuration
+    current: Placement
+    demand: t.Mapping[str, float]
 
 
 class Planner:
@@ -113,6 +104,7 @@
         self._planned_at = 0.0
         self._read_at = 0.0
         self._written_at = 0.0
+        self._ahead: dict[float, tuple[_Inputs, Placement]] = {}
         self._audited = 0
         self._stopping = False
         self.lease = PlannerLease(name)
@@ -244,6 +236,7 @@
         known = replace(self._configuration, engines=tuple(fixed))
         demand = sum_demand(known.busy_hours, now)
         target = plan_placement(known, current, demand, self._bound)
+        made = False
         for period in list_periods(known.busy_hours, now, now + PLAN_HORIZON):
             if period.start <= now:
                 continue
@@ -252,13 +245,35 @@
                 continue
             for name, rate in demand.items():
                 coming[name] = max(rate, coming.get(name, 0.0))
-            ahead = plan_placement(known, target, coming, self._bound)
+            inputs = _Inputs(known, target, coming)
+            if made and not self._is_planned(period.start, inputs):
+                # The node serves meanwhile; the next tick goes on.
+                self._planned_at = 0.0
+                break
+            made = made or not self._is_planned(period.start, inputs)
+            ahead = self._plan_ahead(period.start, inputs)
             moves = list_moves(known, current, ahead)
             if period.start - measure_lead(known, moves) <= now:
                 target = ahead
                 demand = coming
         return target
 
+    def _plan_ahead(self, start: float, inputs: _Inputs) -> Placement:
+        """Plan for a peak; an unchanged plan is not made again."""
+        if self._is_planned(start, inputs):
+            return self._ahead[start][1]
+        placed = plan_placement(
+            inputs.configuration, inputs.current, inputs.demand, self._bound
+        )
+        if len(self._ahead) >= MAX_PLANS_KEPT:
+            self._ahead.clear()
+        self._ahead[start] = (inputs, placed)
+        return placed
+
+    def _is_planned(self, start: float, inputs: _Inputs) -> bool:
+        known = self._ahead.get(start)
+        return known is not None and known[0] == inputs
+
     def _find_desired(self, engine: Engine) -> Assignment:
         """Return what an engine should hold, whatever it does hold."""
         desired = self._target.get(engine.name) or self._record.placed.get(engine.name)
@@ -345,29 +360,3 @@
     loading = size / configuration.weight_store.bytes_per_second
     rounds = -(-len(moves) // MAX_MOVES)
     return loading + rounds * 2 * DRAIN_PERIOD + LOAD_MARGIN
-
-
-def encode_record(number: int, placed: Placement) -> bytes:
-    """Return a placement record's value."""
-    engines = {}
-    for name in sorted(placed):
-        item = placed[name]
-        engines[name] = [
-            item.model,
-            item.version,
-            item.layers.first,
-            item.layers.last,
-        ]
-    content = json.dumps({"number": number, "engines": engines})
-    # Each node reads it at each move: 2,400 engines take 125 KB uncompressed.
-    return zlib.compress(content.encode())
-
-
-def decode_record(value: bytes, revision: int) -> Record:
-    """Return a placement record; ``ValueError`` or the like if it is broken."""
-    item = json.loads(zlib.decompress(value))
-    placed = {}
-    for name, (model, version, first, last) in item["engines"].items():
-        layers = LayerRange(int(first), int(last))
-        placed[name] = Assignment(str(model), str(version), layers)
-    return Record(int(item["number"]), revision, placed)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,12 +8,11 @@
 from tarragonrudder.core.fleet import LayerRange
 from tarragonrudder.core.lease import PlannerLease
 from tarragonrudder.core.placement import Assignment, _Search
+from tarragonrudder.core.placement_record import decode_record, encode_record
 from tarragonrudder.core.planner import (
     RECORD_KEY,
     RECORD_TAG,
     Planner,
-    decode_record,
-    encode_record,
 )
 from tests.matrix import placement as cells
 from tests.planning import START, OrderViolation, World
