--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -24,6 +24,7 @@
     ModelRoute,
     WeightStore,
 )
+from tarragonrudder.core.flow import compute_plan
 
 ROME = zoneinfo.ZoneInfo("Europe/Rome")
 DAYS = (
@@ -67,7 +68,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Outcome:
-    """What one run showed; bounds in tokens per second.
+    """What one run showed; bounds and maximum flows in tokens per second.
 
     Attributes
     ----------
@@ -81,6 +82,8 @@
     after: float
     moves: int
     ready: float
+    flow_before: float
+    flow_after: float
 
 
 def make_configuration(zone: str) -> Configuration:
@@ -133,6 +136,7 @@
     with mock.patch.object(planner, "PLAN_HORIZON", policy.horizon):
         world.run(peak - BEFORE + 60.0)
         before = world.measure_bound(BUSY)
+        flow_before = measure_flow(world)
         lowest = world.measure_bound(OTHER)
         now = peak - BEFORE + 60.0
         served = queue = 0.0
@@ -154,14 +158,30 @@
     on_time = (served + queue) / (PEAK_DEMAND * MEASURED)
     moves = len({entry.engine for entry in world.journal})
     after = world.measure_bound(BUSY)
-    return Outcome(min(1.0, on_time), before, lowest, after, moves, ready)
+    return Outcome(
+        min(1.0, on_time),
+        before,
+        lowest,
+        after,
+        moves,
+        ready,
+        flow_before,
+        measure_flow(world),
+    )
+
+
+def measure_flow(world: World) -> float:
+    """Return the busy model's maximum flow over what engines really hold."""
+    model = world.configuration.find_model(BUSY, "1")
+    assert model is not None
+    return compute_plan(model, world.list_holders(BUSY, ""), ()).bound
 
 
 def main(days: t.Sequence[tuple[str, datetime.date]] = DAYS) -> int:
     """Print the table."""
     print(
         "day                policy        on time  bound before  after"
-        "  other's lowest  moves  ready after s"
+        "  other's lowest  moves  ready after s  max flow before  after"
     )
     for name, day in days:
         for policy in POLICIES:
@@ -171,6 +191,7 @@
                 f"  {outcome.before:12.0f}  {outcome.after:5.0f}"
                 f"  {outcome.lowest_other:14.0f}  {outcome.moves:5}"
                 f"  {outcome.ready:13.0f}"
+                f"  {outcome.flow_before:15.0f}  {outcome.flow_after:5.0f}"
             )
     return 0
 
--- a/tests/planning.py
+++ b/tests/planning.py
@@ -231,7 +231,7 @@
         """Return a model's bound over what engines really hold."""
         found = self.configuration.find_model(model, "1")
         assert found is not None
-        return estimate_bound(found, self._list_holders(model, ""))
+        return estimate_bound(found, self.list_holders(model, ""))
 
     def judge(self) -> None:
         """Raise if the journal shows what must not be."""
@@ -371,9 +371,10 @@
     def _keeps_chain(self, model: str, without: str) -> bool:
         found = self.configuration.find_model(model, "1")
         assert found is not None
-        return has_chain(found, self._list_holders(model, without))
+        return has_chain(found, self.list_holders(model, without))
 
-    def _list_holders(self, model: str, without: str) -> list[Engine]:
+    def list_holders(self, model: str, without: str) -> list[Engine]:
+        """Return a model's engines as they really hold it, but for one."""
         holders = []
         for name, fake in self.engines.items():
             held = fake.held
