--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -12,17 +12,16 @@
     StopNode,
 )
 from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket
-from tarragonrudder.core.adoption import Adoption
 from tarragonrudder.core.answer import Answers
-from tarragonrudder.core.budget import RetryBudget
+from tarragonrudder.core.budget import RetryBudget, WorkBudget
 from tarragonrudder.core.call import Calls
+from tarragonrudder.core.configuration import ConfigurationControl
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
     CacheChanged,
     CallerGone,
     ChatRequested,
-    ConfigurationRead,
     Event,
     LoadReported,
     NodesListed,
@@ -40,19 +39,24 @@
     Swapped,
     TimerFired,
     TokensArrived,
+    UpstreamProbed,
     VmsListed,
 )
 from tarragonrudder.core.fleet import ClientAccount, Configuration
+from tarragonrudder.core.gossip import TIMER as GOSSIP_TIMER
+from tarragonrudder.core.gossip import Gossip
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.message import (
-    FingerprintBlocked,
+    Fact,
+    Facts,
     RecordDecided,
     RecordSubmitted,
     UpstreamLeaving,
 )
 from tarragonrudder.core.observation import AttemptObserver
 from tarragonrudder.core.plans import Plans
+from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
 from tarragonrudder.core.shard import RecordOptions
@@ -98,18 +102,20 @@
         self._options = options
         self._stop_at: float | None = None
         self._chats: dict[str, ChatRequested] = {}
-        self._accounts: dict[str, ClientAccount] = {}
-        self.adoption = Adoption()
-        self.membership = Membership(options.name)
+        self.control = ConfigurationControl(options.name, source)
+        self.adoption = self.control.adoption
+        self.gossip = Gossip(source)
+        self.membership = Membership(options.name, self.gossip)
         plans = Plans()
         self.selector = make_selector(options.data_center, source, plans)
         self.limits = Limits(options.name)
         self.admission = Admission(plans)
         self.observer = AttemptObserver()
-        self.quarantine = Quarantine()
+        self.quarantine = Quarantine(self.gossip)
         self.budget = RetryBudget()
+        self.work_budget = WorkBudget()
         self.answers = Answers(
-            self.membership, self.selector, self.quarantine, self.budget
+            self.membership, self.selector, self.quarantine, self.work_budget
         )
         self.calls = Calls(self.membership, self.budget, options.name, options.records)
 
@@ -123,6 +129,11 @@
         """Whether the balancer may send work."""
         return self._stop_at is None and self.configuration.generation > 0
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the node was told to shut down."""
+        return self._stop_at is not None
+
     @property
     def in_flight(self) -> int:
         """Requests that have not ended."""
@@ -130,7 +141,9 @@
 
     def start(self, now: float) -> list[Action]:
         """Begin periodic work."""
-        return [SetTimer("tick", now + TICK_PERIOD)]
+        actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
+        actions.extend(self.control.start(now))
+        return actions
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Decide what to do about an event.
@@ -149,6 +162,7 @@
         """
         self._observe(event, now)
         actions = self._dispatch(event, now)
+        actions.extend(self.answers.refuse_blocked(now))
         actions.extend(self._settle(now))
         self.observer.note_actions(actions, now)
         return actions
@@ -163,6 +177,8 @@
             self.selector.observe_gap(observation.chain, observation.seconds, now)
 
     def _dispatch(self, event: Event, now: float) -> list[Action]:
+        if self.control.handles(event):
+            return self._control(event, now)
         match event:
             case TokensArrived():
                 return self.answers.merge_tokens(event, now)
@@ -187,15 +203,18 @@
             case CacheChanged():
                 self.selector.merge_cache(event, now)
             case VmsListed():
-                self.membership.merge_vms(event)
+                return self.membership.merge_vms(event, now)
+            case UpstreamProbed():
+                actions = self.answers.merge_probe(event, now)
+                actions.extend(self.membership.merge_probe(event, now))
+                return actions
             case NodesListed():
                 self.membership.set_nodes(event.nodes)
                 self.limits.set_nodes(event.nodes)
                 self.admission.set_node_count(len(event.nodes))
                 self.selector.set_node_count(len(event.nodes))
+                self.control.set_nodes(event)
                 self.calls.recorder.set_nodes(event.nodes)
-            case ConfigurationRead():
-                return self._adopt(event.configuration)
             case (
                 PlatformValue()
                 | Swapped()
@@ -215,7 +234,7 @@
         return []
 
     def _accept_chat(self, chat: ChatRequested, now: float) -> list[Action]:
-        account = self._accounts.get(chat.account)
+        account = self.adoption.index.find_account(chat.account)
         model = None
         for route in self.configuration.model_routes:
             if route.name == chat.route:
@@ -253,7 +272,7 @@
         return []
 
     def _accept_service(self, event: ServiceRequested, now: float) -> list[Action]:
-        account = self._accounts.get(event.account)
+        account = self.adoption.index.find_account(event.account)
         if account is None:
             return [FailAnswer(event.request, NotFound("the account is gone"))]
         actions = self._check_gates(event.request, account, now)
@@ -285,28 +304,36 @@
             self.admission.release(request, 0, now)
         return actions
 
-    def _adopt(self, configuration: Configuration) -> list[Action]:
-        actions = self.adoption.offer(configuration)
-        if not actions:
+    def _control(self, event: Event, now: float) -> list[Action]:
+        before = self.configuration
+        actions = self.control.handle(event, now)
+        configuration = self.configuration
+        if configuration is before:
             return actions
-        self._accounts = {account.name: account for account in configuration.accounts}
         self.selector.configure(configuration)
         self.admission.configure(configuration)
+        self.membership.configure(configuration.engines)
         self.answers.configure(configuration.engines)
         self.calls.configure(configuration)
         return actions
 
     def _hear(self, event: PeerReached, now: float) -> list[Action]:
         match event.message:
-            case UpstreamLeaving(upstream=upstream):
-                return self.membership.mark_leaving(upstream, now, announce=False)
-            case FingerprintBlocked() as message:
-                self.quarantine.merge(message, now)
-                return []
+            case Facts(facts=facts):
+                actions: list[Action] = []
+                for fact in facts:
+                    actions.extend(self._learn(fact, now))
+                return actions
             case RecordSubmitted() | RecordDecided() as message:
                 return self.calls.recorder.handle_peer(event.node, message, now)
         return self.limits.handle_peer(event.node, event.message, now)
 
+    def _learn(self, fact: Fact, now: float) -> list[Action]:
+        match fact:
+            case UpstreamLeaving(upstream=upstream, age=age):
+                return self.membership.mark_leaving(upstream, now, age)
+        return self.quarantine.merge(fact, now)
+
     def _fire(self, timer: str, now: float) -> list[Action]:
         if timer.startswith("answer-"):
             return self.answers.fire(timer, now)
@@ -317,7 +344,14 @@
         if timer == "tick":
             actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
             actions.extend(self.limits.tick(now))
+            actions.extend(self.membership.tick(now))
+            self.quarantine.tick(now)
+            self.answers.tick(now)
             return actions
+        if timer == GOSSIP_TIMER:
+            return self.gossip.fire(now)
+        if timer == QUARANTINE_TIMER:
+            return self.quarantine.fire(now)
         return []
 
     def _stop(self, now: float) -> list[Action]:
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -1,5 +1,5 @@
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 from hypothesis import given, settings
@@ -7,13 +7,14 @@
 
 from tarragonrudder.core import keyed as keyed_module
 from tarragonrudder.core import pool, record
-from tarragonrudder.core.action import CallService
-from tarragonrudder.core.event import CallerGone
+from tarragonrudder.core.action import CallService, StopNode
+from tarragonrudder.core.event import CallerGone, StopRequested
 from tarragonrudder.core.keyed import KeyedCalls
 from tarragonrudder.core.keyedcall import Phase
 from tarragonrudder.core.shard import RecordOptions, Shard
 from tests.standins.world import SMALL, World
 
+DIRECT = replace(SMALL, direct_nodes=16)
 LONG = 60.0  # seconds, beyond the time for which a call may stay pending
 NOT_SENT = "platform_unavailable not_run"
 UNKNOWN = "outcome_unknown unknown"
@@ -368,6 +369,7 @@
     runs=RUNS,
     delay=st.sampled_from([0.01, 0.5, 1.5]),
     asks=st.booleans(),
+    options=st.sampled_from([SMALL, DIRECT]),
 )
 
 
@@ -380,8 +382,9 @@
     runs: list[str],
     delay: float,
     asks: bool,
+    options: RecordOptions,
 ) -> None:
-    world = run_schedule(sends, faults, swaps, runs, delay, asks)
+    world = run_schedule(sends, faults, swaps, runs, delay, asks, options)
     world.judge()
     # Every caller whose node lives on is answered.
     for request, sent in world.sent.items():
@@ -416,7 +419,7 @@
 MERGE_FAILURE = Shard.merge_failure
 DECIDE = record.decide_record
 ONE_SEND = [(0.0, 0, "k", "a"), (0.0, 1, "k", "a"), (6.0, 2, "k", "a")]
-SHORT = RecordOptions(shards=2, slots=4, slot_bytes=4096, retention=0.5)
+SHORT = RecordOptions(shards=2, slots=4, slot_bytes=4096, retention=0.5, direct_nodes=0)
 VIEWS = [Fault(0.0, "cut", 0)]
 
 
@@ -459,3 +462,37 @@
         world = run_schedule(ONE_SEND, VIEWS, swaps, runs, delay, False)
         world.judge()
     run_schedule(ONE_SEND, VIEWS, ["dropped"], [], 0.01, False).judge()
+
+
+def test_planned_stop_waits_for_the_outcome() -> None:
+    world = World()
+    world.service_delay = 1.5
+    request = world.send("node-0", "k")
+    stopped: list[float] = []
+
+    def note_stop(name: str, item: object) -> bool:
+        if isinstance(item, StopNode):
+            stopped.append(world.now)
+        return bool(stopped)
+
+    world.probe = note_stop
+    world.run(0.5)
+    world.post("node-0", StopRequested())
+    world.run(LONG)
+    assert world.kind(request) == "201"
+    assert stopped and stopped[0] >= world.answers[request][0]
+    second = world.send("node-1", "k")
+    world.run(1.0)
+    assert world.kind(second) == "201 replayed"
+
+
+def test_log_holds_neither_key_nor_body() -> None:
+    world = World()
+    world.answer_body = b"answer-in-confidence"
+    for node in ("node-0", "node-1"):
+        world.send(node, "key-in-confidence", "body-in-confidence")
+        world.run(1.0)
+    decisions = {log.decision for log in world.logs}
+    expected = {"intent_committed", "call_sent", "outcome_recorded", "resend_answered"}
+    assert expected <= decisions
+    assert "in-confidence" not in repr(world.logs)
