--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -3,10 +3,11 @@
 import pathlib
 import time
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from benchmarks import order
 from benchmarks.drive import Run
+from benchmarks.fairness import format_fairness, measure_fairness
 from benchmarks.fleet import make_site
 from benchmarks.outcome import Figures, measure
 from benchmarks.plot import draw_recoveries
@@ -50,6 +51,7 @@
         f"Bound: {today.bound:.0f} tokens/s (courts), {league.bound:.0f} (league).",
         _format(rows),
         _format_ages(recoveries),
+        format_fairness(measure_fairness(today)),
         order.format_table(order.measure_orders()),
     ]
     text = "\n\n".join(parts)
@@ -61,15 +63,7 @@
 
 def _run_scenario(scenario: Scenario) -> t.Iterator[Row]:
     for policy, selector in POLICIES.items():
-        setup = scenario.setup
-        setup = type(setup)(
-            **{
-                name: getattr(setup, name)
-                for name in setup.__slots__
-                if name != "selector"
-            },
-            selector=selector,
-        )
+        setup = replace(scenario.setup, selector=selector)
         outcomes = Run(setup).run()
         bound = scenario.site.bound
         figures = measure(outcomes, WARM_UP, DURATION - TAIL, bound)
