--- a/src/tarragonrudder/core/selection.py
+++ b/src/tarragonrudder/core/selection.py
@@ -15,7 +15,7 @@
 from tarragonrudder.core.slowness import Slowness
 
 CANDIDATES = 4  # chains drawn from the plan, of which the least loaded is taken
-BOTTLENECK_WEIGHT = 2.0  # of the slowest stage, beside the sum of all stages
+BOTTLENECK_WEIGHT = 8.0  # of the slowest stage, beside the sum of all stages
 PREFIX_DISCOUNT = 0.3  # share of the cost that a cached prefix saves
 DEFAULT_LATENCY = 0.0005  # seconds over a link that is not configured
 MAX_SAMPLERS = 64
