--- a/src/tarragonrudder/edges/crosscheck.py
+++ b/src/tarragonrudder/edges/crosscheck.py
@@ -69,11 +69,21 @@
             report.add("route", route.name, text)
             continue
         layer = find_uncovered_layer(configuration, model)
-        if layer is not None:
+        if layer is not None and not _is_planned(configuration, model):
             text = f"no engine holds layer {layer} of its model; add an engine for it"
             report.add("route", route.name, text)
 
 
+def _is_planned(configuration: Configuration, model: Model) -> bool:
+    """Tell whether the planner may place a model: its layers may come later."""
+    if not any(engine.movable for engine in configuration.engines):
+        return False
+    for hours in configuration.busy_hours:
+        if (hours.model, hours.version) == (model.name, model.version):
+            return True
+    return False
+
+
 def find_uncovered_layer(configuration: Configuration, model: Model) -> int | None:
     """Return the first layer that no engine holds, or None.
 
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -152,6 +152,21 @@
     assert all("; " in fault or "did you mean" in fault for fault in faults), faults
 
 
+@pytest.mark.parametrize(
+    ("movable", "hours", "valid"),
+    [("no", HOURS, False), ("yes", "", False), ("yes", HOURS, True)],
+)
+def test_a_planned_model_may_lack_layers(movable: str, hours: str, valid: bool) -> None:
+    text = f"[engine:a]\nlayers = 0-2\nmovable = {movable}\n{hours}"
+    if hours:
+        text += "zone = Europe/Rome\ndemand = 5\n"
+    if valid:
+        build_configuration({"10.ini": BASE, "20.ini": text}, 1)
+        return
+    faults = find_faults({"10.ini": BASE, "20.ini": text})
+    assert any("no engine holds layer 3" in fault for fault in faults), faults
+
+
 @pytest.mark.parametrize("key", ["key_hashes", "requests_per_second", "burst"])
 def test_findings_never_show_a_value(key: str) -> None:
     text = f"[account:courts]\n{key} = {SECRET}\n"
