Register anew when the node's entry is gone; name the process tests in the matrix

A node whose lease lapsed while it was paused learned of it only at its next renewal's answer; a watch that tells of its own entry's end now makes it register anew at the next renewal.

--- a/src/tarragonrudder/edges/sync.py
+++ b/src/tarragonrudder/edges/sync.py
@@ -195,6 +195,9 @@
         name = item.key.removeprefix(NODES_PREFIX)
         if not item.value:
             self._nodes.pop(name, None)
+            if name == self._settings.node.name:
+                # The lease lapsed unseen: register anew at the next renewal.
+                self._lease = 0
             return
         try:
             value = NodeValue.model_validate_json(item.value)
--- a/tests/matrix/configuration.py
+++ b/tests/matrix/configuration.py
@@ -6,7 +6,7 @@
 from tarragonrudder.core import action as actions
 from tarragonrudder.core.configuration import ConfigurationControl
 from tarragonrudder.core.configuration_record import ACCEPTED_KEY
-from tests.matrix.table import Cell, Impossible, Proved, Verdict
+from tests.matrix.table import Cell, Impossible, Proved, ProvedByProcesses, Verdict
 from tests.standins.control_fleet import TARGET, ControlFleet, SimulatedNode
 
 AREA = "configuration"
@@ -82,6 +82,19 @@
     "watch lagging": lag_watches,
     "operators racing": race_operators,
 }
+_FILE = "tests/test_configuration_processes.py::"
+PROCESS_TESTS = (
+    ("write", "no fault", _FILE + "test_a_change_is_in_force_on_all_nodes"),
+    ("write", "operators racing", _FILE + "test_one_of_two_operators_loses"),
+    ("write", "answer lost", "tests/test_cli.py::test_a_lost_answer_is_read_back"),
+    ("accept", "folder with faults", _FILE + "test_a_bad_folder_is_rejected_whole"),
+    ("adopt", "node frozen and woken", _FILE + "test_a_frozen_node_catches_up"),
+    (
+        "restart",
+        "platform down",
+        _FILE + "test_an_empty_node_starts_while_the_platform_is_down",
+    ),
+)
 PAIRS = (
     ("node replaced by an empty one", "platform down"),
     ("node killed", "write lands and its answer is lost"),
@@ -235,6 +248,8 @@
     )
     for step, fault, check in extra:
         cells.append(Cell(AREA, step, fault, Proved(check)))
+    for step, fault, test in PROCESS_TESTS:
+        cells.append(Cell(AREA, step, f"{fault}, processes", ProvedByProcesses(test)))
     return cells
 
 
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -125,3 +125,13 @@
     sync, listener = make_sync(Listed(), lambda _: httpx.Response(200, text=body))
     await sync._read_vms("http://platform/vms")
     assert listener.events == []
+
+
+async def test_a_node_that_is_no_longer_listed_registers_anew() -> None:
+    client = Listed()
+    client.changes = [KeyValue(NODES_PREFIX + "node-0", b"", 8)]
+    sync, _ = make_sync(client)
+    sync._lease = 5
+    with pytest.raises(PlatformError):
+        await sync._watch(7)
+    assert sync._lease == 0
