--- a/src/tarragonrudder/core/limit.py
+++ b/src/tarragonrudder/core/limit.py
@@ -23,7 +23,7 @@
 GRANT_TTL = 5.0  # seconds after which a grant that was not used expires
 DEMAND_WINDOW = 2.0  # seconds, time constant of the measured demand
 TICK_PERIOD = 1.0  # seconds
-REPORT_PERIOD = 1.0  # seconds between reports of what a node admitted itself
+REPORT_PERIOD = 2.0  # seconds between reports of what a node admitted itself
 NODES_PER_SECOND = 20  # one more second between reports for each so many nodes
 MIN_OWNER_COUNT = 7
 LOCAL_BURST_PERIOD = 0.05  # seconds of the rate that cover a round trip
@@ -165,7 +165,7 @@
             case LimitGrant():
                 columns = (message.accounts, message.granted, message.shares)
                 for name, granted, share, retry in zip(
-                    *columns, message.retries, strict=True
+                    *columns, message.retries, strict=False
                 ):
                     self._merge(Grant(name, granted, share, retry), now)
         return []
@@ -281,7 +281,7 @@
             self._seen[node] = {n for n in seen if n > newest - SEQUENCE_WINDOW}
         grants = []
         columns = (message.accounts, message.used, message.wanted, message.rates)
-        for name, used, wanted, rate in zip(*columns, strict=True):
+        for name, used, wanted, rate in zip(*columns, strict=False):
             account = self._accounts.get(name)
             if account is None or repeated:
                 continue
--- a/src/tarragonrudder/core/recovery.py
+++ b/src/tarragonrudder/core/recovery.py
@@ -28,8 +28,8 @@
 from tarragonrudder.errors import ChainError
 
 LOST_TOKENS = 1  # tokens that a crash may keep from the node
-APART_WAIT = 0.7  # seconds for which a suspect waits for stages of its own
-OWN_WAIT = 0.35  # seconds in which a suspect keeps to its node's own share
+APART_WAIT = 0.75  # seconds for which a suspect waits for stages of its own
+OWN_WAIT = 0.55  # seconds in which a suspect keeps to its node's own share
 APART_PERIOD = 0.03  # seconds between looks for such stages
 
 
@@ -178,6 +178,8 @@
         fingerprint = answer.chat.fingerprint
         if not self._quarantine.is_suspect(fingerprint):
             return frozenset()
+        if self._quarantine.is_infrastructure(now):
+            return frozenset()
         if answer.apart_since is None:
             answer.apart_since = now
         names = self._quarantine.find_occupied(fingerprint, now)
