--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -383,7 +383,7 @@
             return actions
         if timer == GOSSIP_TIMER:
             return self.gossip.fire(now)
-        if timer == QUARANTINE_TIMER:
+        if timer.startswith(QUARANTINE_TIMER):
             return self.quarantine.fire(now)
         return []
 
@@ -393,6 +393,7 @@
         return [
             LogDecision("stop_requested", {"in_flight": self.in_flight}),
             SetTimer("stop", self._stop_at),
+            *self.planner.stop(),
         ]
 
     def _settle(self, now: float) -> list[Action]:
