--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -42,6 +42,7 @@
 PROBE_GRACE = 0.2  # seconds that a probe's result may be late
 FIRST_TOKEN_TIMEOUT = 2.0  # seconds before a live chain without a token is left
 SILENT_PERIOD = 0.3  # seconds without a token before a dead stage is left
+CROSSING_TIME = 0.15  # seconds that a token may take through a chain
 MAX_REJECTIONS = 3  # upstreams that may reject a request
 
 
@@ -115,7 +116,7 @@
             actions.extend(self._end(answer, now))
             return actions
         if answer.pace.is_degraded and answer.assembly.end is None:
-            moved = self._move(answer, now)
+            moved = self._move(answer, answer.healthy_at, now)
             if moved:
                 return actions + moved
         actions.append(await_token(answer, answer.pace.stall_timeout, now))
@@ -229,7 +230,9 @@
             return self._break_off(answer, Stalled(), None, now)
         waited = now - answer.started_at
         if answer.fresh or waited >= FIRST_TOKEN_TIMEOUT:
-            moved = self._move(answer, now)
+            # What crossed a stage before the stall may have come after it.
+            since = answer.pace.last + CROSSING_TIME
+            moved = self._move(answer, since, now)
             if moved:
                 return moved
         timeout = max(answer.pace.stall_timeout, FIRST_TOKEN_TIMEOUT - waited)
@@ -282,11 +285,11 @@
             return self._give_up(answer, outcome)
         return outcome
 
-    def _move(self, answer: Answer, now: float) -> list[Action]:
+    def _move(self, answer: Answer, since: float, now: float) -> list[Action]:
         """Leave a slow chain for another; empty if there is none or no budget."""
         if answer.chain is None:
             return []
-        blamed = self._passages.find_blamed(answer.chain, answer.healthy_at)
+        blamed = self._passages.find_blamed(answer.chain, since)
         if not blamed and not answer.fresh:
             return []  # others pass it: the answer waits in an engine's queue
         self._diagnosis.forget(answer.request)
