--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -48,6 +48,7 @@
 from tarragonrudder.core.fleet import ClientAccount, Configuration
 from tarragonrudder.core.gossip import TIMER as GOSSIP_TIMER
 from tarragonrudder.core.gossip import Gossip
+from tarragonrudder.core.layout import RecordOptions
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.message import (
@@ -57,13 +58,13 @@
     RecordSubmitted,
     UpstreamLeaving,
 )
+from tarragonrudder.core.observation import AttemptObserver
 from tarragonrudder.core.planner import Planner, PlannerEvent
+from tarragonrudder.core.plans import Plans
 from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
-from tarragonrudder.core.shard import RecordOptions
 from tarragonrudder.errors import (
-    DeadlineExceeded,
     NotFound,
     Quarantined,
     RateLimited,
@@ -96,7 +97,12 @@
 class Node:
     """The decisions of one node; the driver translates its actions."""
 
-    def __init__(self, options: NodeOptions, source: random.Random) -> None:
+    def __init__(
+        self,
+        options: NodeOptions,
+        source: random.Random,
+        make_selector: t.Callable[..., Selector] = Selector,
+    ) -> None:
         self._options = options
         self._stop_at: float | None = None
         self._chats: dict[str, ChatRequested] = {}
@@ -104,9 +110,11 @@
         self.adoption = self.control.adoption
         self.gossip = Gossip(source)
         self.membership = Membership(options.name, self.gossip)
-        self.selector = Selector(options.data_center, source)
+        plans = Plans()
+        self.selector = make_selector(options.data_center, source, plans)
         self.limits = Limits(options.name)
-        self.admission = Admission()
+        self.admission = Admission(plans)
+        self.observer = AttemptObserver()
         self.planner = Planner(options.name, self.membership)
         self.quarantine = Quarantine(self.gossip)
         self.budget = RetryBudget()
@@ -157,11 +165,22 @@
         list of Action
             To be carried out in order.
         """
+        self._observe(event, now)
         actions = self._dispatch(event, now)
         actions.extend(self.answers.refuse_blocked(now))
         actions.extend(self._settle(now))
+        self.observer.note_actions(actions, now)
         return actions
 
+    def _observe(self, event: Event, now: float) -> None:
+        """Learn from the pace of tokens how busy the fleet is."""
+        observation = self.observer.note_event(event, now)
+        if observation is None:
+            return
+        self.admission.observe(observation)
+        if not observation.first:
+            self.selector.observe_gap(observation.chain, observation.seconds, now)
+
     def _dispatch(self, event: Event, now: float) -> list[Action]:
         if self.control.handles(event):
             return self._control(event, now)
@@ -199,6 +218,8 @@
                 self.limits.set_nodes(event.nodes, now)
                 self.planner.set_nodes(node.name for node in event.nodes)
                 self.control.set_nodes(event)
+                self.admission.set_node_count(len(event.nodes))
+                self.selector.set_node_count(len(event.nodes))
                 self.calls.recorder.set_nodes(event.nodes)
             case (
                 PlatformValue()
@@ -372,6 +393,7 @@
         return [
             LogDecision("stop_requested", {"in_flight": self.in_flight}),
             SetTimer("stop", self._stop_at),
+            *self.planner.stop(),
         ]
 
     def _settle(self, now: float) -> list[Action]:
@@ -380,9 +402,10 @@
         actions.extend(self.calls.keyed.settle(now))
         for request, tokens in self.answers.take_ended():
             self._chats.pop(request, None)
+            self.observer.forget(request)
             self.admission.release(request, tokens, now)
         for ticket in self.admission.take_expired(now):
-            problem = DeadlineExceeded("it waited too long; send it again")
+            problem = self.admission.refuse(ticket, now)
             actions.append(FailAnswer(ticket.request, problem))
             self._chats.pop(ticket.request, None)
         for ticket in self.admission.take_ready(now):
--- a/src/tarragonrudder/core/planner.py
+++ b/src/tarragonrudder/core/planner.py
@@ -4,8 +4,8 @@
 changes it. Nothing that serves a request waits for any of this.
 """
 
-import json
 import typing as t
+import zlib
 from dataclasses import dataclass, replace
 
 from tarragonrudder.core.action import (
@@ -25,7 +25,7 @@
     SwapLost,
     Swapped,
 )
-from tarragonrudder.core.fleet import Configuration, Engine, LayerRange
+from tarragonrudder.core.fleet import Configuration, Engine
 from tarragonrudder.core.lease import TAG as LEASE_TAG
 from tarragonrudder.core.lease import PlannerLease
 from tarragonrudder.core.membership import Membership
@@ -41,6 +41,7 @@
     list_served,
     plan_placement,
 )
+from tarragonrudder.core.placement_record import Record, decode_record, encode_record
 from tarragonrudder.core.rendezvous import rank_nodes
 from tarragonrudder.core.schedule import list_periods, sum_demand
 from tarragonrudder.core.transition import (
@@ -55,10 +56,11 @@
 RECORD_KEY = "/tarragonrudder/control/placement"  # under the watched prefix
 RECORD_TAG = "planner-record"
 RECORD_READ_PERIOD = 60.0  # seconds; the watch brings changes sooner
-RECORD_WRITE_PERIOD = 2.0  # seconds
+RECORD_WRITE_PERIOD = 5.0  # seconds
 PLAN_PERIOD = 10.0  # seconds
 FIRST_PLAN_DELAY = 3.0  # seconds in which engines tell a new planner what they hold
 PLAN_HORIZON = 24 * 3600.0  # seconds
+MAX_PLANS_KEPT = 32
 LOAD_MARGIN = 120.0  # seconds between the end of the loading and the peak
 SILENT_PERIOD = 30.0  # seconds after which an engine that says nothing is left
 AUDIT_PER_TICK = 8  # engines asked what they hold
@@ -77,20 +79,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Record:
-    """The placement that all nodes use.
-
-    Attributes
-    ----------
-    number : int
-        Fencing number of the planner that wrote it.
-    revision : int
-        The platform's revision, 0 if there is no record.
-    """
-
-    number: int
-    revision: int
-    placed: t.Mapping[str, Assignment]
+class _Inputs:
+    configuration: Configuration
+    current: Placement
+    demand: t.Mapping[str, float]
 
 
 class Planner:
@@ -112,7 +104,9 @@
         self._planned_at = 0.0
         self._read_at = 0.0
         self._written_at = 0.0
+        self._ahead: dict[float, tuple[_Inputs, Placement]] = {}
         self._audited = 0
+        self._stopping = False
         self.lease = PlannerLease(name)
         self.transitions = Transitions(self.lease, membership)
 
@@ -135,6 +129,12 @@
         """Return the configured engines as the record places them."""
         return tuple(apply_placement(self._configuration.engines, self._record.placed))
 
+    def stop(self) -> list[Action]:
+        """Plan no more: another node takes over when the lease has lapsed."""
+        self._stopping = True
+        self.transitions.clear()
+        return self.lease.give_up("the node is shutting down")
+
     def tick(self, now: float) -> list[Action]:
         """Do the periodic work, once a second."""
         movable = self._list_movable()
@@ -143,6 +143,7 @@
             self._read_at = now
             actions.append(ReadPlatform(RECORD_TAG, RECORD_KEY))
         candidate = bool(movable) and self._name in self._candidates
+        candidate = candidate and not self._stopping
         actions.extend(self.lease.tick(now, candidate))
         if not self._check_lease(now):
             return actions
@@ -235,6 +236,7 @@
         known = replace(self._configuration, engines=tuple(fixed))
         demand = sum_demand(known.busy_hours, now)
         target = plan_placement(known, current, demand, self._bound)
+        made = False
         for period in list_periods(known.busy_hours, now, now + PLAN_HORIZON):
             if period.start <= now:
                 continue
@@ -243,13 +245,35 @@
                 continue
             for name, rate in demand.items():
                 coming[name] = max(rate, coming.get(name, 0.0))
-            ahead = plan_placement(known, target, coming, self._bound)
+            inputs = _Inputs(known, target, coming)
+            if made and not self._is_planned(period.start, inputs):
+                # The node serves meanwhile; the next tick goes on.
+                self._planned_at = 0.0
+                break
+            made = made or not self._is_planned(period.start, inputs)
+            ahead = self._plan_ahead(period.start, inputs)
             moves = list_moves(known, current, ahead)
             if period.start - measure_lead(known, moves) <= now:
                 target = ahead
                 demand = coming
         return target
 
+    def _plan_ahead(self, start: float, inputs: _Inputs) -> Placement:
+        """Plan for a peak; an unchanged plan is not made again."""
+        if self._is_planned(start, inputs):
+            return self._ahead[start][1]
+        placed = plan_placement(
+            inputs.configuration, inputs.current, inputs.demand, self._bound
+        )
+        if len(self._ahead) >= MAX_PLANS_KEPT:
+            self._ahead.clear()
+        self._ahead[start] = (inputs, placed)
+        return placed
+
+    def _is_planned(self, start: float, inputs: _Inputs) -> bool:
+        known = self._ahead.get(start)
+        return known is not None and known[0] == inputs
+
     def _find_desired(self, engine: Engine) -> Assignment:
         """Return what an engine should hold, whatever it does hold."""
         desired = self._target.get(engine.name) or self._record.placed.get(engine.name)
@@ -318,7 +342,7 @@
             return []
         try:
             self._record = decode_record(event.value, event.revision)
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, zlib.error) as error:
             return [LogDecision("placement_unreadable", {"reason": str(error)})]
         fields = {"revision": event.revision, "engines": len(self._record.placed)}
         return [LogDecision("placement_adopted", fields)]
@@ -336,27 +360,3 @@
     loading = size / configuration.weight_store.bytes_per_second
     rounds = -(-len(moves) // MAX_MOVES)
     return loading + rounds * 2 * DRAIN_PERIOD + LOAD_MARGIN
-
-
-def encode_record(number: int, placed: Placement) -> bytes:
-    """Return a placement record's value."""
-    engines = {}
-    for name in sorted(placed):
-        item = placed[name]
-        engines[name] = [
-            item.model,
-            item.version,
-            item.layers.first,
-            item.layers.last,
-        ]
-    return json.dumps({"number": number, "engines": engines}).encode()
-
-
-def decode_record(value: bytes, revision: int) -> Record:
-    """Return a placement record; ``ValueError`` or the like if it is broken."""
-    item = json.loads(value)
-    placed = {}
-    for name, (model, version, first, last) in item["engines"].items():
-        layers = LayerRange(int(first), int(last))
-        placed[name] = Assignment(str(model), str(version), layers)
-    return Record(int(item["number"]), revision, placed)
