--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -26,6 +26,7 @@
 from tarragonrudder.edges.exchange import ExchangeClient
 from tarragonrudder.edges.loader import ConfigurationLoader
 from tarragonrudder.edges.metrics import Metrics
+from tarragonrudder.edges.order import OrderClient
 from tarragonrudder.edges.peer import PeerClient
 from tarragonrudder.edges.platform import (
     PlatformAnswerLost,
@@ -65,6 +66,7 @@
         self._metrics = metrics
         self._engines = EngineClient(self.post)
         self._services = ServiceClient(self.post, clock.now)
+        self._orders = OrderClient(self.post)
         self._peers = peers
         self.loader = ConfigurationLoader(
             ConfigurationStore(platform), exchange, self.post
@@ -85,6 +87,7 @@
         """Close all clients."""
         await self._engines.close()
         await self._services.close()
+        await self._orders.close()
         await self._peers.close()
         await self.loader.close()
 
@@ -147,6 +150,10 @@
                 self._spawn(self._swap, action)
             case actions.GrantLease():
                 self._spawn(self._grant, action)
+            case actions.SendOrder():
+                self._spawn(self._orders.send, action)
+            case actions.ReadHolding():
+                self._spawn(self._orders.read, action)
             case actions.LoadConfiguration():
                 self._spawn(self.loader.load, action)
             case actions.CheckFolder():
--- a/src/tarragonrudder/edges/schema.py
+++ b/src/tarragonrudder/edges/schema.py
@@ -121,6 +121,9 @@
     checks_fencing: bool = Field(
         False, description="whether it refuses orders with an old fencing number"
     )
+    movable: bool = Field(
+        False, description="whether the planner may order it to hold something else"
+    )
 
 
 class ServiceSection(Section):
--- a/tests/standins/fleets.py
+++ b/tests/standins/fleets.py
@@ -14,7 +14,7 @@
 STAGES = (LayerRange(0, 3), LayerRange(4, 7), LayerRange(8, 11))
 DATA_CENTERS = ("dc-1", "dc-2", "dc-3")
 TOKEN_SECONDS = 0.045  # to run all layers of one token
-BATCH_LIMIT = 32  # answers that an engine runs at once
+BATCH_LIMIT = 32  # answers at once
 ACCOUNT_RATE = 1e6  # requests per second; limits are tested elsewhere
 
 
@@ -22,8 +22,6 @@
     engines_per_stage: int = 3, deadline: float = 60.0, version: str = "1"
 ) -> Configuration:
     """Return a fleet whose engines hold one of three layer ranges each."""
-    # An engine's speed is summed over its batch, each answer of which it runs
-    # as if it were alone.
     speed = BATCH_LIMIT * LAYER_COUNT / TOKEN_SECONDS
     engines = []
     for stage, layers in enumerate(STAGES):
