--- a/src/tarragonrudder/core/slowness.py
+++ b/src/tarragonrudder/core/slowness.py
@@ -10,11 +10,11 @@
 from tarragonrudder.core.chain import Chain
 
 FALL = 0.5  # weight of a chain that is faster than the estimate
-RISE = 0.05  # weight of a chain that is slower
+RISE = 0.3  # weight of a chain that is slower
 USUAL_SMOOTHING = 0.02  # weight of the newest chain in the usual gap
 TOLERANCE = 1.3  # ratio to the usual gap that is not held against a part
 MAX_PENALTY = 20.0
-SLOW_PENALTY = 2.0  # from which on a part is planned as slow
+SLOW_PENALTY = 1.5  # from which on a part is planned as slow
 FIRST_HOLD = 30.0  # seconds for which a part is planned as slow
 MAX_HOLD = 480.0  # seconds; the hold doubles each time it is slow again
 
