Log the reasons for a chain; count a plan's flows instead of seconds

The test of a large fleet's plans failed on a slow machine by its clock; it now bounds the number of flows (300 a plan), which is the same on every run.

--- a/src/tarragonrudder/core/attempt.py
+++ b/src/tarragonrudder/core/attempt.py
@@ -1,5 +1,6 @@
 """State of one answer over its attempts."""
 
+import typing as t
 from dataclasses import dataclass, field
 
 from tarragonrudder.core.action import LogDecision, StartAttempt
@@ -137,13 +138,24 @@
     )
 
 
-def describe_attempt(answer: Answer, chain: Chain, work: float) -> LogDecision:
-    """Return the log line of the current attempt; `work` is its extra work."""
+def describe_attempt(
+    answer: Answer, chain: Chain, work: float, reasons: t.Mapping[str, t.Any]
+) -> LogDecision:
+    """Return the log line of the current attempt.
+
+    Parameters
+    ----------
+    work : float
+        Its extra work, as the work budget counts it.
+    reasons : mapping
+        Why the chain was chosen, as the selector describes it.
+    """
     fields = {
         "request": answer.request,
         "attempt": answer.attempt,
         "chain": chain.describe(),
         "position": len(answer.assembly.emitted),
         "work": round(work, 1),
+        **reasons,
     }
     return LogDecision("chain_chosen", fields)
--- a/src/tarragonrudder/core/dispatch.py
+++ b/src/tarragonrudder/core/dispatch.py
@@ -86,9 +86,10 @@
 
     def _dispatch(self, answer: Answer, plan: Plan, now: float) -> list[Action]:
         answer.start(plan.chain, now)
+        reasons = self._selector.describe(plan.chain, answer.chat.fingerprint)
         self._selector.start(plan.chain)
         actions: list[Action] = [
-            describe_attempt(answer, plan.chain, plan.work),
+            describe_attempt(answer, plan.chain, plan.work, reasons),
             make_attempt(answer, plan.chain),
         ]
         fingerprint = answer.chat.fingerprint
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -1,6 +1,7 @@
 import random
-import time
+import typing as t
 
+import networkx as nx
 import pytest
 
 from tarragonrudder.core.fleet import Engine, LayerRange, Link, Model
@@ -89,7 +90,9 @@
     assert rates == pytest.approx([25.0 / 4] * 4, rel=1e-2)
 
 
-def test_600_engines_of_10_models_in_7_data_centres_take_under_10_seconds() -> None:
+def test_600_engines_of_10_models_in_7_data_centres_take_few_flows(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     source = random.Random(1)
     engines = []
     models = [Model(f"m{index}", "1", 48) for index in range(10)]
@@ -106,10 +109,22 @@
     for one in range(7):
         for other in range(one):
             links.append(Link(f"dc{one}", f"dc{other}", 0.0005, 1e8))
-    began = time.perf_counter()
+    flows = 0
+
+    def count(function: t.Callable[..., t.Any]) -> t.Callable[..., t.Any]:
+        def run(*args: t.Any, **options: t.Any) -> t.Any:
+            nonlocal flows
+            flows += 1
+            return function(*args, **options)
+
+        return run
+
+    for name in ("minimum_cut", "maximum_flow", "max_flow_min_cost"):
+        monkeypatch.setattr(nx, name, count(getattr(nx, name)))
     for model in models:
+        flows = 0
         assert compute_plan(model, engines, links).bound > 0
-    assert time.perf_counter() - began < 10
+        assert flows <= 300
 
 
 def test_data_centres_alone_carry_what_a_slow_link_can_not() -> None:
