--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -5,7 +5,7 @@
 
 import typing as t
 
-from tests.matrix import answers, configuration, placement, records
+from tests.matrix import answers, configuration, placement, records, stop
 from tests.matrix.table import Cell
 
 AREAS: tuple[t.Callable[[], list[Cell]], ...] = (
@@ -13,6 +13,7 @@
     configuration.list_cells,
     placement.list_cells,
     records.list_cells,
+    stop.list_cells,
 )
 
 
--- a/tests/standins/virtual.py
+++ b/tests/standins/virtual.py
@@ -178,6 +178,13 @@
                 caller.receipt.ending = Broken()
         self.engines.drop_node(name)
 
+    def _stop_node(self, name: str) -> None:
+        """End a node's process; what it has not ended by then is cut off."""
+        if self.nodes[name].state == "dead":
+            return
+        self.write("stopped", node=name)
+        self.kill_node(name)
+
     def freeze_node(self, name: str) -> None:
         """Stop a node as SIGSTOP does."""
         self.nodes[name].state = "frozen"
@@ -221,6 +228,8 @@
                 self._send_peer(name, action)
             case actions.LogDecision():
                 self.decisions.append((self.now, name, action))
+            case actions.StopNode():
+                self._stop_node(name)
             case actions.ReadPlatform() | actions.SwapPlatform():
                 event = PlatformFailed(action.tag, action.key)
                 self.schedule(self.platform_delay, lambda: self.deliver(name, event))
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,51 @@
+import pytest
+
+from tarragonrudder.core import action as actions
+from tarragonrudder.core.event import Event, StopRequested
+from tarragonrudder.core.node import Node
+from tests.matrix.stop import Scenario
+
+
+def stop_at_once(node: Node, event: Event, now: float) -> list[actions.Action]:
+    """Leave without a drain."""
+    if isinstance(event, StopRequested):
+        return [actions.StopNode()]
+    return _HANDLE(node, event, now)
+
+
+def refuse_at_once(node: Node, event: Event, now: float) -> list[actions.Action]:
+    """Refuse new work while the balancer still sends it."""
+    decided = _HANDLE(node, event, now)
+    if isinstance(event, StopRequested):
+        node._stop_at = now
+    return decided
+
+
+def never_leave(node: Node, event: Event, now: float) -> list[actions.Action]:
+    """Forget to end."""
+    decided = _HANDLE(node, event, now)
+    return [item for item in decided if not isinstance(item, actions.StopNode)]
+
+
+_HANDLE = Node.handle
+
+
+@pytest.mark.parametrize(
+    ("variant", "finding"),
+    [
+        (stop_at_once, "ended with Broken"),
+        (refuse_at_once, "ended with Failed"),
+        (never_leave, "did not come to hold"),
+    ],
+)
+def test_broken_stop_is_caught(
+    monkeypatch: pytest.MonkeyPatch, variant: object, finding: str
+) -> None:
+    monkeypatch.setattr(Node, "handle", variant)
+    scenario = Scenario("announce", ("no fault",), 1)
+    try:
+        scenario.play()
+        findings = scenario.find_faults()
+    except TimeoutError as error:
+        findings = [str(error)]
+    assert any(finding in item for item in findings), findings
