Split the node's events and intake into modules of one job

The failures, the platform's answers and the configuration's events have modules of their own, the gates before a start are Intake, the shutdown is Drain, and one module names owners.

--- a/benchmarks/drive.py
+++ b/benchmarks/drive.py
@@ -10,6 +10,7 @@
 from benchmarks.outcome import Outcome
 from tarragonrudder.core import action as actions
 from tarragonrudder.core import event as events
+from tarragonrudder.core import failure as failures
 from tarragonrudder.core.node import Node, NodeOptions
 from tarragonrudder.core.selection import Selector
 
@@ -124,7 +125,7 @@
         for name in names:
             for stream in self.fleet.kill(name):
                 key = (stream.action.request, stream.action.attempt)
-                event = events.AttemptFailed(*key, events.Crashed(), name)
+                event = events.AttemptFailed(*key, failures.Crashed(), name)
                 self.schedule(
                     self.now + BREAK_SECONDS, self._post, (stream.node, event)
                 )
@@ -320,9 +321,9 @@
         dead = self.fleet.submit(name, action, length)
         if dead is None:
             return
-        failure: events.Failure = events.Crashed()
+        failure: failures.Failure = failures.Crashed()
         if dead == action.chain.hops[0].upstream:
-            failure = events.Unreachable()
+            failure = failures.Unreachable()
         event = events.AttemptFailed(action.request, action.attempt, failure, dead)
         self.schedule(self.now + BREAK_SECONDS, self._post, (name, event))
 
--- a/src/tarragonrudder/core/acceptance.py
+++ b/src/tarragonrudder/core/acceptance.py
@@ -13,6 +13,7 @@
     SetTimer,
     SwapPlatform,
 )
+from tarragonrudder.core.configuration_event import FolderChecked, FolderUnread
 from tarragonrudder.core.configuration_record import (
     ACCEPTED_KEY,
     FOLDER_KEY,
@@ -23,7 +24,6 @@
     encode_accepted,
     encode_rejected,
 )
-from tarragonrudder.core.event import FolderChecked, FolderUnread
 
 ACCEPT_TAG = "configuration-accept"
 ACCEPT_TIMER = "configuration-accept"
--- a/src/tarragonrudder/core/adoption.py
+++ b/src/tarragonrudder/core/adoption.py
@@ -13,7 +13,7 @@
     SendPeer,
     SetTimer,
 )
-from tarragonrudder.core.event import ConfigurationUnread, PeerGeneration
+from tarragonrudder.core.configuration_event import ConfigurationUnread, PeerGeneration
 from tarragonrudder.core.fleet import Configuration
 from tarragonrudder.core.index import ConfigurationIndex
 from tarragonrudder.core.message import GenerationAnnounced
--- a/src/tarragonrudder/core/answer.py
+++ b/src/tarragonrudder/core/answer.py
@@ -18,13 +18,10 @@
     AttemptEnded,
     AttemptFailed,
     ChatRequested,
-    Crashed,
-    Failure,
-    Malformed,
-    Stalled,
     TokensArrived,
     UpstreamProbed,
 )
+from tarragonrudder.core.failure import Crashed, Failure, Malformed, Stalled
 from tarragonrudder.core.fleet import Engine
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.pace import MIN_GAPS, SLOW_FACTOR, Pace
--- a/src/tarragonrudder/core/attempt.py
+++ b/src/tarragonrudder/core/attempt.py
@@ -7,12 +7,8 @@
 from tarragonrudder.core.admission import Ticket
 from tarragonrudder.core.assembly import Assembly
 from tarragonrudder.core.chain import Chain
-from tarragonrudder.core.event import (
-    ChatRequested,
-    Failure,
-    Refused,
-    Unreachable,
-)
+from tarragonrudder.core.event import ChatRequested
+from tarragonrudder.core.failure import Failure, Refused, Unreachable
 from tarragonrudder.core.pace import Pace
 from tarragonrudder.errors import RunState
 
--- a/src/tarragonrudder/core/configuration.py
+++ b/src/tarragonrudder/core/configuration.py
@@ -11,6 +11,13 @@
     SetTimer,
 )
 from tarragonrudder.core.adoption import LOAD_TIMER, POLL_TIMER, TAG, Adoption
+from tarragonrudder.core.configuration_event import (
+    ConfigurationRead,
+    ConfigurationUnread,
+    FolderChecked,
+    FolderUnread,
+    PeersAsked,
+)
 from tarragonrudder.core.configuration_record import (
     ACCEPTED_KEY,
     FOLDER_KEY,
@@ -19,23 +26,15 @@
     decode_folder,
     decode_rejected,
 )
-from tarragonrudder.core.event import (
-    ConfigurationRead,
-    ConfigurationUnread,
-    Event,
-    FolderChecked,
-    FolderUnread,
-    NodesListed,
-    PeerReached,
-    PeersAsked,
+from tarragonrudder.core.event import Event, NodesListed, PeerReached, TimerFired
+from tarragonrudder.core.message import GenerationAnnounced
+from tarragonrudder.core.platform_event import (
     PlatformFailed,
     PlatformValue,
     SwapConflicted,
     SwapLost,
     Swapped,
-    TimerFired,
 )
-from tarragonrudder.core.message import GenerationAnnounced
 from tarragonrudder.errors import RecordError
 
 POLL_PERIOD = 5.0  # seconds, for what a watch did not tell
--- a/src/tarragonrudder/core/dispatch.py
+++ b/src/tarragonrudder/core/dispatch.py
@@ -2,7 +2,7 @@
 
 from tarragonrudder.core.action import Action, CancelAttempt, LogDecision, SetTimer
 from tarragonrudder.core.attempt import Answer, describe_attempt, make_attempt
-from tarragonrudder.core.event import Stalled
+from tarragonrudder.core.failure import Stalled
 from tarragonrudder.core.membership import Membership
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.recovery import Later, Plan, Recovery
--- a/src/tarragonrudder/core/event.py
+++ b/src/tarragonrudder/core/event.py
@@ -6,7 +6,22 @@
 import typing as t
 from dataclasses import dataclass
 
-from tarragonrudder.core.fleet import Configuration
+from tarragonrudder.core.configuration_event import (
+    ConfigurationRead,
+    ConfigurationUnread,
+    FolderChecked,
+    FolderUnread,
+    PeersAsked,
+)
+from tarragonrudder.core.failure import Failure
+from tarragonrudder.core.platform_event import (
+    LeaseGranted,
+    PlatformFailed,
+    PlatformValue,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,49 +100,6 @@
     prompt_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Unreachable:
-    """No connection could be made: nothing was sent."""
-
-
-@dataclass(frozen=True, slots=True)
-class Crashed:
-    """The stream broke, or a stage says that its next stage is gone."""
-
-
-@dataclass(frozen=True, slots=True)
-class Stalled:
-    """The upstream did not answer within its timeout."""
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The upstream refused before running anything.
-
-    Attributes
-    ----------
-    leaving : bool
-        Whether the upstream is shutting down.
-    """
-
-    leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Malformed:
-    """The upstream's answer breaks the protocol."""
-
-    detail: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Expired:
-    """The time to send it was over: nothing was sent."""
-
-
-Failure: t.TypeAlias = Unreachable | Crashed | Stalled | Refused | Malformed | Expired
-
-
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
     """An attempt broke off.
@@ -295,137 +267,6 @@
     nodes: tuple[NodeAddress, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationRead:
-    """A validated configuration was read from the platform or a peer."""
-
-    configuration: Configuration
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigurationUnread:
-    """The contents of a generation could not be read or used.
-
-    Attributes
-    ----------
-    permanent : bool
-        Whether the contents were read whole, but this node can't use them.
-    """
-
-    generation: int
-    digest: str
-    reason: str
-    permanent: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class FolderChecked:
-    """The operators' folder was read and checked as a whole.
-
-    Attributes
-    ----------
-    findings : tuple of str
-        All faults; empty if it is valid.
-    """
-
-    digest: str
-    findings: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class FolderUnread:
-    """The operators' folder could not be read."""
-
-    digest: str
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class PeerGeneration:
-    """The generation that another node says it has in force."""
-
-    generation: int
-    digest: str
-
-
-@dataclass(frozen=True, slots=True)
-class PeersAsked:
-    """All known nodes were asked for their generation; some answered."""
-
-    answers: tuple[PeerGeneration, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PlatformValue:
-    """A read of one key ended.
-
-    Attributes
-    ----------
-    tag : str
-        The tag of the action that asked.
-    value : bytes or None
-        None if the key does not exist.
-    revision : int
-        The key's modification revision, 0 if it does not exist.
-    """
-
-    tag: str
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Swapped:
-    """A compare-and-swap succeeded; `revision` is the key's new one."""
-
-    tag: str
-    key: str
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class SwapConflicted:
-    """A compare-and-swap found another revision and wrote nothing."""
-
-    tag: str
-    key: str
-
-
-@dataclass(frozen=True, slots=True)
-class SwapLost:
-    """A compare-and-swap's answer was lost: it may have been written."""
-
-    tag: str
-    key: str
-
-
-@dataclass(frozen=True, slots=True)
-class PlatformFailed:
-    """A call did not reach the platform: nothing was read or written."""
-
-    tag: str
-    key: str
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseGranted:
-    """A lease was granted or renewed.
-
-    Attributes
-    ----------
-    lease : int
-        The platform's name of the lease.
-    asked_at : float
-        When the call left: the lease runs `ttl` seconds from then at least.
-    """
-
-    tag: str
-    lease: int
-    ttl: float
-    asked_at: float
-
-
 @dataclass(frozen=True, slots=True)
 class PeerReached:
     """A message of another node arrived, authentic and decoded.
--- /dev/null
+++ b/src/tarragonrudder/core/failure.py
@@ -0,0 +1,47 @@
+"""Why a call to an upstream got no whole answer."""
+
+import typing as t
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No connection could be made: nothing was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Crashed:
+    """The stream broke, or a stage says that its next stage is gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stalled:
+    """The upstream did not answer within its timeout."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The upstream refused before running anything.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the upstream is shutting down.
+    """
+
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """The upstream's answer breaks the protocol."""
+
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The time to send it was over: nothing was sent."""
+
+
+Failure: t.TypeAlias = Unreachable | Crashed | Stalled | Refused | Malformed | Expired
--- /dev/null
+++ b/src/tarragonrudder/core/intake.py
@@ -0,0 +1,142 @@
+"""From a caller's request to its start: gates, admission, queue, drain."""
+
+from tarragonrudder.core.action import Action, FailAnswer
+from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket
+from tarragonrudder.core.adoption import Adoption
+from tarragonrudder.core.answer import Answers
+from tarragonrudder.core.call import Calls
+from tarragonrudder.core.drain import Drain
+from tarragonrudder.core.event import ChatRequested, ServiceRequested
+from tarragonrudder.core.fleet import ClientAccount, Model
+from tarragonrudder.core.limit import Limits
+from tarragonrudder.core.observation import AttemptObserver
+from tarragonrudder.core.quarantine import Quarantine
+from tarragonrudder.errors import NotFound, Problem, Quarantined, RateLimited
+
+
+class Intake:
+    """Takes requests in and starts them when they may run.
+
+    What is refused here was never sent to an upstream.
+    """
+
+    def __init__(
+        self,
+        adoption: Adoption,
+        drain: Drain,
+        limits: Limits,
+        quarantine: Quarantine,
+        admission: Admission,
+        observer: AttemptObserver,
+        answers: Answers,
+        calls: Calls,
+    ) -> None:
+        self._adoption = adoption
+        self._drain = drain
+        self._limits = limits
+        self._quarantine = quarantine
+        self._admission = admission
+        self._observer = observer
+        self._answers = answers
+        self._calls = calls
+        self._chats: dict[str, ChatRequested] = {}
+
+    def __len__(self) -> int:
+        return len(self._chats) + len(self._calls)
+
+    def accept_chat(self, chat: ChatRequested, now: float) -> list[Action]:
+        """Start, queue or refuse a request for an answer."""
+        account = self._adoption.index.find_account(chat.account)
+        model = self._find_model(chat.route)
+        if account is None or model is None:
+            problem = NotFound(f"there is no model {chat.route!r}; ask /v1/models")
+            return [FailAnswer(chat.request, problem)]
+        refusal = self._check_gates(account, now)
+        if refusal is None:
+            refusal = self._check_quarantine(chat.fingerprint, now)
+        if refusal is not None:
+            return [FailAnswer(chat.request, refusal)]
+        ticket = self._make_ticket(chat, account, model, now)
+        verdict = self._admission.offer(ticket, now)
+        match verdict:
+            case Rejected():
+                return [FailAnswer(chat.request, verdict.problem)]
+            case Admitted():
+                self._chats[chat.request] = chat
+                return self._answers.begin(chat, ticket, now)
+        self._chats[chat.request] = chat
+        return []
+
+    def accept_service(self, event: ServiceRequested, now: float) -> list[Action]:
+        """Start or refuse a call to a plain service."""
+        account = self._adoption.index.find_account(event.account)
+        if account is None:
+            problem: Problem = NotFound("the client account is gone; use another key")
+            return [FailAnswer(event.request, problem)]
+        refusal = self._check_gates(account, now)
+        if refusal is not None:
+            return [FailAnswer(event.request, refusal)]
+        return self._calls.begin(event, now)
+
+    def drop(self, request: str, now: float) -> list[Action]:
+        """Forget a request whose caller is gone."""
+        actions = self._answers.cancel(request, now)
+        actions.extend(self._calls.cancel(request, now))
+        if self._chats.pop(request, None) is not None:
+            self._admission.release(request, 0, now)
+        return actions
+
+    def settle(self, now: float) -> list[Action]:
+        """End what has ended and start what may start now."""
+        actions: list[Action] = []
+        for request, tokens in self._answers.take_ended():
+            self._chats.pop(request, None)
+            self._observer.forget(request)
+            self._admission.release(request, tokens, now)
+        for ticket in self._admission.take_expired(now):
+            problem = self._admission.refuse(ticket, now)
+            actions.append(FailAnswer(ticket.request, problem))
+            self._chats.pop(ticket.request, None)
+        for ticket in self._admission.take_ready(now):
+            chat = self._chats[ticket.request]
+            actions.extend(self._answers.begin(chat, ticket, now))
+        return actions
+
+    def _find_model(self, name: str) -> Model | None:
+        route = self._adoption.index.find_model_route(name)
+        if route is None:
+            return None
+        return self._adoption.configuration.find_model(route.model, route.version)
+
+    def _make_ticket(
+        self, chat: ChatRequested, account: ClientAccount, model: Model, now: float
+    ) -> Ticket:
+        priority = self._adoption.configuration.find_priority(account.priority)
+        return Ticket(
+            chat.request,
+            account,
+            priority,
+            model,
+            chat.max_tokens,
+            now,
+            now + priority.deadline,
+        )
+
+    def _check_gates(self, account: ClientAccount, now: float) -> Problem | None:
+        if self._drain.is_closed(now):
+            return self._drain.refuse()
+        wait = self._limits.take(account, now)
+        if wait > 0:
+            return RateLimited(
+                "the account is over its limit; slow down", retry_after=wait
+            )
+        return None
+
+    def _check_quarantine(self, fingerprint: str, now: float) -> Problem | None:
+        remaining = self._quarantine.check(fingerprint, now)
+        if remaining > 0:
+            return Quarantined(
+                "this request crashed upstreams; change it or wait",
+                retry_after=remaining,
+            )
+        return None
--- a/src/tarragonrudder/core/lease.py
+++ b/src/tarragonrudder/core/lease.py
@@ -17,7 +17,7 @@
     ReadPlatform,
     SwapPlatform,
 )
-from tarragonrudder.core.event import (
+from tarragonrudder.core.platform_event import (
     LeaseGranted,
     PlatformFailed,
     PlatformValue,
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -6,16 +6,16 @@
 
 from tarragonrudder.core.action import (
     Action,
-    FailAnswer,
     LogDecision,
     SetTimer,
     StopNode,
 )
-from tarragonrudder.core.admission import Admission, Admitted, Rejected, Ticket
+from tarragonrudder.core.admission import Admission
 from tarragonrudder.core.answer import Answers
 from tarragonrudder.core.budget import RetryBudget, WorkBudget
 from tarragonrudder.core.call import Calls
 from tarragonrudder.core.configuration import ConfigurationControl
+from tarragonrudder.core.drain import Drain
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
@@ -24,30 +24,25 @@
     ChatRequested,
     Event,
     HoldingRead,
-    LeaseGranted,
     LoadReported,
     NodesListed,
     OrderAnswered,
     OutcomeRead,
     PeerLost,
     PeerReached,
-    PlatformFailed,
-    PlatformValue,
     ServiceAnswered,
     ServiceFailed,
     ServiceRequested,
     StopRequested,
-    SwapConflicted,
-    SwapLost,
-    Swapped,
     TimerFired,
     TokensArrived,
     UpstreamProbed,
     VmsListed,
 )
-from tarragonrudder.core.fleet import ClientAccount, Configuration
+from tarragonrudder.core.fleet import Configuration
 from tarragonrudder.core.gossip import TIMER as GOSSIP_TIMER
 from tarragonrudder.core.gossip import Gossip
+from tarragonrudder.core.intake import Intake
 from tarragonrudder.core.layout import RecordOptions
 from tarragonrudder.core.limit import Limits
 from tarragonrudder.core.membership import Membership
@@ -61,18 +56,19 @@
 from tarragonrudder.core.observation import AttemptObserver
 from tarragonrudder.core.planner import Planner, PlannerEvent
 from tarragonrudder.core.plans import Plans
+from tarragonrudder.core.platform_event import (
+    LeaseGranted,
+    PlatformFailed,
+    PlatformValue,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
+)
 from tarragonrudder.core.quarantine import TIMER as QUARANTINE_TIMER
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.selection import Selector
-from tarragonrudder.errors import (
-    NotFound,
-    Quarantined,
-    RateLimited,
-    Stopping,
-)
 
 TICK_PERIOD = 1.0  # seconds between periodic work
-STOPPING_RETRY_AFTER = 1.0  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +100,7 @@
         make_selector: t.Callable[..., Selector] = Selector,
     ) -> None:
         self._options = options
-        self._stop_at: float | None = None
-        self._chats: dict[str, ChatRequested] = {}
+        self._drain = Drain(options.balancer_lag)
         self.control = ConfigurationControl(options.name, source)
         self.adoption = self.control.adoption
         self.gossip = Gossip(source)
@@ -123,6 +118,16 @@
             self.membership, self.selector, self.quarantine, self.work_budget
         )
         self.calls = Calls(self.membership, self.budget, options.name, options.records)
+        self._intake = Intake(
+            self.adoption,
+            self._drain,
+            self.limits,
+            self.quarantine,
+            self.admission,
+            self.observer,
+            self.answers,
+            self.calls,
+        )
 
     @property
     def configuration(self) -> Configuration:
@@ -132,17 +137,17 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send work."""
-        return self._stop_at is None and self.configuration.generation > 0
+        return not self._drain.begun and self.configuration.generation > 0
 
     @property
     def stopping(self) -> bool:
         """Whether the node was told to shut down."""
-        return self._stop_at is not None
+        return self._drain.begun
 
     @property
     def in_flight(self) -> int:
         """Requests that have not ended."""
-        return len(self._chats) + len(self.calls)
+        return len(self._intake)
 
     def start(self, now: float) -> list[Action]:
         """Begin periodic work."""
@@ -168,7 +173,11 @@
         self._observe(event, now)
         actions = self._dispatch(event, now)
         actions.extend(self.answers.refuse_blocked(now))
-        actions.extend(self._settle(now))
+        actions.extend(self.limits.flush(now))
+        actions.extend(self.calls.keyed.settle(now))
+        actions.extend(self._intake.settle(now))
+        if self._drain.is_closed(now) and self.in_flight == 0:
+            actions.append(StopNode())
         self.observer.note_actions(actions, now)
         return actions
 
@@ -192,9 +201,9 @@
             case AttemptFailed():
                 return self.answers.merge_failure(event, now)
             case ChatRequested():
-                return self._accept_chat(event, now)
+                return self._intake.accept_chat(event, now)
             case ServiceRequested():
-                return self._accept_service(event, now)
+                return self._intake.accept_service(event, now)
             case ServiceAnswered():
                 return self.calls.merge_answer(event, now)
             case ServiceFailed():
@@ -202,7 +211,7 @@
             case OutcomeRead():
                 return self.calls.merge_outcome(event, now)
             case CallerGone():
-                return self._drop(event.request, now)
+                return self._intake.drop(event.request, now)
             case LoadReported():
                 self.selector.merge_load(event, now)
             case CacheChanged():
@@ -214,13 +223,7 @@
                 actions.extend(self.membership.merge_probe(event, now))
                 return actions
             case NodesListed():
-                self.membership.set_nodes(event.nodes)
-                self.limits.set_nodes(event.nodes, now)
-                self.planner.set_nodes(node.name for node in event.nodes)
-                self.control.set_nodes(event)
-                self.admission.set_node_count(len(event.nodes))
-                self.selector.set_node_count(len(event.nodes))
-                self.calls.recorder.set_nodes(event.nodes)
+                self._set_nodes(event, now)
             case (
                 PlatformValue()
                 | Swapped()
@@ -251,77 +254,6 @@
                 return self._stop(now)
         return []
 
-    def _accept_chat(self, chat: ChatRequested, now: float) -> list[Action]:
-        account = self.adoption.index.find_account(chat.account)
-        model = None
-        for route in self.configuration.model_routes:
-            if route.name == chat.route:
-                model = self.configuration.find_model(route.model, route.version)
-        if account is None or model is None:
-            problem = NotFound(f"there is no model {chat.route!r}; ask /v1/models")
-            return [FailAnswer(chat.request, problem)]
-        actions = self._check_gates(chat.request, account, now)
-        if actions:
-            return actions
-        blocked = self.quarantine.check(chat.fingerprint, now)
-        if blocked > 0:
-            refused = Quarantined(
-                "this request crashed upstreams; change it or wait", retry_after=blocked
-            )
-            return [FailAnswer(chat.request, refused)]
-        priority = self.configuration.find_priority(account.priority)
-        ticket = Ticket(
-            chat.request,
-            account,
-            priority,
-            model,
-            chat.max_tokens,
-            now,
-            now + priority.deadline,
-        )
-        verdict = self.admission.offer(ticket, now)
-        match verdict:
-            case Rejected():
-                return [FailAnswer(chat.request, verdict.problem)]
-            case Admitted():
-                self._chats[chat.request] = chat
-                return self.answers.begin(chat, ticket, now)
-        self._chats[chat.request] = chat
-        return []
-
-    def _accept_service(self, event: ServiceRequested, now: float) -> list[Action]:
-        account = self.adoption.index.find_account(event.account)
-        if account is None:
-            return [FailAnswer(event.request, NotFound("the account is gone"))]
-        actions = self._check_gates(event.request, account, now)
-        if actions:
-            return actions
-        return self.calls.begin(event, now)
-
-    def _check_gates(
-        self, request: str, account: ClientAccount, now: float
-    ) -> list[Action]:
-        if self._stop_at is not None and now >= self._stop_at:
-            problem = Stopping(
-                "this node is shutting down; send it again",
-                retry_after=STOPPING_RETRY_AFTER,
-            )
-            return [FailAnswer(request, problem)]
-        wait = self.limits.take(account, now)
-        if wait > 0:
-            limited = RateLimited(
-                "the account is over its limit; slow down", retry_after=wait
-            )
-            return [FailAnswer(request, limited)]
-        return []
-
-    def _drop(self, request: str, now: float) -> list[Action]:
-        actions = self.answers.cancel(request, now)
-        actions.extend(self.calls.cancel(request, now))
-        if self._chats.pop(request, None) is not None:
-            self.admission.release(request, 0, now)
-        return actions
-
     def _control(self, event: Event, now: float) -> list[Action]:
         before = self.configuration
         actions = self.control.handle(event, now)
@@ -349,6 +281,15 @@
         self.selector.configure(replace(self.configuration, engines=engines))
         self.answers.configure(engines)
 
+    def _set_nodes(self, event: NodesListed, now: float) -> None:
+        self.membership.set_nodes(event.nodes)
+        self.limits.set_nodes(event.nodes, now)
+        self.planner.set_nodes(node.name for node in event.nodes)
+        self.control.set_nodes(event)
+        self.admission.set_node_count(len(event.nodes))
+        self.selector.set_node_count(len(event.nodes))
+        self.calls.recorder.set_nodes(event.nodes)
+
     def _hear(self, event: PeerReached, now: float) -> list[Action]:
         match event.message:
             case Facts(facts=facts):
@@ -374,48 +315,26 @@
         if timer.startswith("call-"):
             return self.calls.keyed.fire(timer, now)
         if timer == "tick":
-            actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
-            actions.extend(self.limits.tick(now))
-            actions.extend(self.planner.tick(now))
-            actions.extend(self.membership.tick(now))
-            self.quarantine.tick(now)
-            self.answers.tick(now)
-            return actions
+            return self._tick(now)
         if timer == GOSSIP_TIMER:
             return self.gossip.fire(now)
         if timer.startswith(QUARANTINE_TIMER):
             return self.quarantine.fire(now)
         return []
 
+    def _tick(self, now: float) -> list[Action]:
+        actions: list[Action] = [SetTimer("tick", now + TICK_PERIOD)]
+        actions.extend(self.limits.tick(now))
+        actions.extend(self.planner.tick(now))
+        actions.extend(self.membership.tick(now))
+        self.quarantine.tick(now)
+        self.answers.tick(now)
+        return actions
+
     def _stop(self, now: float) -> list[Action]:
-        if self._stop_at is None:
-            self._stop_at = now + self._options.balancer_lag
+        closed_at = self._drain.begin(now)
         return [
             LogDecision("stop_requested", {"in_flight": self.in_flight}),
-            SetTimer("stop", self._stop_at),
+            SetTimer("stop", closed_at),
             *self.planner.stop(),
         ]
-
-    def _settle(self, now: float) -> list[Action]:
-        """End what has ended and start what may start now."""
-        actions = self.limits.flush(now)
-        actions.extend(self.calls.keyed.settle(now))
-        for request, tokens in self.answers.take_ended():
-            self._chats.pop(request, None)
-            self.observer.forget(request)
-            self.admission.release(request, tokens, now)
-        for ticket in self.admission.take_expired(now):
-            problem = self.admission.refuse(ticket, now)
-            actions.append(FailAnswer(ticket.request, problem))
-            self._chats.pop(ticket.request, None)
-        for ticket in self.admission.take_ready(now):
-            chat = self._chats[ticket.request]
-            actions.extend(self.answers.begin(chat, ticket, now))
-        if self._stop_at is not None and now >= self._stop_at and self.in_flight == 0:
-            actions.append(StopNode())
-        return actions
-
-
-def describe_actions(actions: t.Sequence[Action]) -> list[str]:
-    """Return the names of the actions' types, for tests and traces."""
-    return [type(action).__name__ for action in actions]
--- a/src/tarragonrudder/core/planner.py
+++ b/src/tarragonrudder/core/planner.py
@@ -15,16 +15,7 @@
     ReadPlatform,
     SwapPlatform,
 )
-from tarragonrudder.core.event import (
-    HoldingRead,
-    LeaseGranted,
-    OrderAnswered,
-    PlatformFailed,
-    PlatformValue,
-    SwapConflicted,
-    SwapLost,
-    Swapped,
-)
+from tarragonrudder.core.event import HoldingRead, OrderAnswered
 from tarragonrudder.core.fleet import Configuration, Engine
 from tarragonrudder.core.lease import TAG as LEASE_TAG
 from tarragonrudder.core.lease import PlannerLease
@@ -42,6 +33,14 @@
     plan_placement,
 )
 from tarragonrudder.core.placement_record import Record, decode_record, encode_record
+from tarragonrudder.core.platform_event import (
+    LeaseGranted,
+    PlatformFailed,
+    PlatformValue,
+    SwapConflicted,
+    SwapLost,
+    Swapped,
+)
 from tarragonrudder.core.rendezvous import rank_nodes
 from tarragonrudder.core.schedule import list_periods, sum_demand
 from tarragonrudder.core.transition import (
--- a/src/tarragonrudder/core/pool.py
+++ b/src/tarragonrudder/core/pool.py
@@ -3,7 +3,7 @@
 import typing as t
 
 from tarragonrudder.core.action import Action
-from tarragonrudder.core.event import Expired, Failure, Refused, Unreachable
+from tarragonrudder.core.failure import Expired, Failure, Refused, Unreachable
 from tarragonrudder.core.fleet import Configuration, Service
 from tarragonrudder.core.membership import Membership
 
--- a/src/tarragonrudder/core/recorder.py
+++ b/src/tarragonrudder/core/recorder.py
@@ -16,17 +16,16 @@
     SendPeer,
     SetTimer,
 )
-from tarragonrudder.core.event import (
-    NodeAddress,
+from tarragonrudder.core.event import NodeAddress
+from tarragonrudder.core.layout import RecordOptions, find_shard
+from tarragonrudder.core.message import RecordDecided, RecordSubmitted
+from tarragonrudder.core.platform_event import (
     PlatformFailed,
     PlatformValue,
     SwapConflicted,
     SwapLost,
     Swapped,
 )
-from tarragonrudder.core.layout import RecordOptions, find_shard
-from tarragonrudder.core.message import RecordDecided, RecordSubmitted
-from tarragonrudder.core.ownership import assign_owners
 from tarragonrudder.core.record import (
     Command,
     Record,
@@ -36,6 +35,7 @@
     encode_record,
     make_state,
 )
+from tarragonrudder.core.rendezvous import assign_owners
 from tarragonrudder.core.shard import Decided, Queued, Shard
 
 KEY_PREFIX = "/tarragonrudder/records/"
--- a/src/tarragonrudder/core/recovery.py
+++ b/src/tarragonrudder/core/recovery.py
@@ -13,7 +13,7 @@
     check_chain,
     count_replayed_layers,
 )
-from tarragonrudder.core.event import (
+from tarragonrudder.core.failure import (
     Crashed,
     Failure,
     Malformed,
--- a/src/tarragonrudder/core/rendezvous.py
+++ b/src/tarragonrudder/core/rendezvous.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import math
 import typing as t
 
 
@@ -58,5 +59,28 @@
     return sorted(names, key=lambda name: (-hash_name(f"{key}/{name}"), name))
 
 
-def _score(shard: int, node: str) -> int:
+def assign_owners(shards: t.Iterable[str], nodes: t.Iterable[str]) -> dict[str, str]:
+    """Return the owner of each shard; none without nodes.
+
+    Each shard goes to the node with the greatest hash that has not its even
+    share yet, so that no node carries the work of several others (bounded
+    loads as by Mirrokni, Thorup and Zadimoghaddam, 2018). Owners only say who
+    should try first: nothing relies on there being one at a time.
+    """
+    names = list(nodes)
+    wanted = list(shards)
+    if not names:
+        return {}
+    share = math.ceil(len(wanted) / len(names))
+    counts = dict.fromkeys(names, 0)
+    owners = {}
+    for shard in wanted:
+        free = [name for name in names if counts[name] < share]
+        owner = max((_score(shard, name), name) for name in free)[1]
+        counts[owner] += 1
+        owners[shard] = owner
+    return owners
+
+
+def _score(shard: int | str, node: str) -> int:
     return hash_name(f"{shard}/{node}")
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -9,18 +9,20 @@
 from tarragonrudder.core import action as actions
 from tarragonrudder.core.event import (
     Event,
-    LeaseGranted,
     NodesListed,
     PeerLost,
+    TimerFired,
+    UpstreamProbed,
+)
+from tarragonrudder.core.node import Node
+from tarragonrudder.core.platform_event import (
+    LeaseGranted,
     PlatformFailed,
     PlatformValue,
     SwapConflicted,
     SwapLost,
     Swapped,
-    TimerFired,
-    UpstreamProbed,
 )
-from tarragonrudder.core.node import Node
 from tarragonrudder.edges.clock import Clock
 from tarragonrudder.edges.engine import EngineClient
 from tarragonrudder.edges.exchange import ExchangeClient
--- a/src/tarragonrudder/edges/engine.py
+++ b/src/tarragonrudder/edges/engine.py
@@ -5,7 +5,8 @@
 import httpx
 
 from tarragonrudder.core.action import CancelAttempt, StartAttempt
-from tarragonrudder.core.event import AttemptFailed, Crashed, Event, Unreachable
+from tarragonrudder.core.event import AttemptFailed, Event
+from tarragonrudder.core.failure import Crashed, Unreachable
 from tarragonrudder.edges.stream import (
     StreamDecoder,
     decode_refusal,
--- a/src/tarragonrudder/edges/loader.py
+++ b/src/tarragonrudder/edges/loader.py
@@ -6,16 +6,15 @@
 import trio
 
 from tarragonrudder.core.action import CheckFolder, LoadConfiguration
-from tarragonrudder.core.event import (
+from tarragonrudder.core.configuration_event import (
     ConfigurationRead,
     ConfigurationUnread,
-    Event,
     FolderChecked,
     FolderUnread,
-    NodeAddress,
     PeerGeneration,
     PeersAsked,
 )
+from tarragonrudder.core.event import Event, NodeAddress
 from tarragonrudder.core.fleet import Configuration
 from tarragonrudder.edges.exchange import (
     MAX_DIGESTS,
--- a/src/tarragonrudder/edges/service.py
+++ b/src/tarragonrudder/edges/service.py
@@ -8,15 +8,12 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from tarragonrudder.core.action import CallService, ReadOutcome
-from tarragonrudder.core.event import (
+from tarragonrudder.core.event import Event, OutcomeRead, ServiceAnswered, ServiceFailed
+from tarragonrudder.core.failure import (
     Crashed,
-    Event,
     Expired,
     Failure,
-    OutcomeRead,
     Refused,
-    ServiceAnswered,
-    ServiceFailed,
     Stalled,
     Unreachable,
 )
--- a/src/tarragonrudder/edges/stream.py
+++ b/src/tarragonrudder/edges/stream.py
@@ -13,15 +13,17 @@
     AttemptEnded,
     AttemptFailed,
     CacheChanged,
-    Crashed,
     Event,
-    Failure,
     LoadReported,
+    Token,
+    TokensArrived,
+)
+from tarragonrudder.core.failure import (
+    Crashed,
+    Failure,
     Malformed,
     Refused,
     Stalled,
-    Token,
-    TokensArrived,
     Unreachable,
 )
 
--- a/src/tarragonrudder/edges/sync.py
+++ b/src/tarragonrudder/edges/sync.py
@@ -20,11 +20,11 @@
 from tarragonrudder.core.event import (
     NodeAddress,
     NodesListed,
-    PlatformValue,
     VirtualMachine,
     VmsListed,
 )
 from tarragonrudder.core.planner import RECORD_KEY, RECORD_TAG
+from tarragonrudder.core.platform_event import PlatformValue
 from tarragonrudder.edges.driver import Driver
 from tarragonrudder.edges.metrics import Metrics
 from tarragonrudder.edges.platform import (
--- a/tests/standins/control_fleet.py
+++ b/tests/standins/control_fleet.py
@@ -12,6 +12,14 @@
 
 from tarragonrudder.core import action as actions
 from tarragonrudder.core.configuration import ConfigurationControl
+from tarragonrudder.core.configuration_event import (
+    ConfigurationRead,
+    ConfigurationUnread,
+    FolderChecked,
+    FolderUnread,
+    PeerGeneration,
+    PeersAsked,
+)
 from tarragonrudder.core.configuration_record import (
     ACCEPTED_KEY,
     CONFIGURATION_PREFIX,
@@ -20,24 +28,20 @@
     encode_folder,
 )
 from tarragonrudder.core.event import (
-    ConfigurationRead,
-    ConfigurationUnread,
     Event,
-    FolderChecked,
-    FolderUnread,
     NodeAddress,
     NodesListed,
-    PeerGeneration,
     PeerReached,
-    PeersAsked,
+    TimerFired,
+)
+from tarragonrudder.core.fleet import Configuration
+from tarragonrudder.core.platform_event import (
     PlatformFailed,
     PlatformValue,
     SwapConflicted,
     SwapLost,
     Swapped,
-    TimerFired,
 )
-from tarragonrudder.core.fleet import Configuration
 
 LATENCY = 0.002  # seconds for one way of a call
 CALL_TIMEOUT = 1.0  # seconds
--- a/tests/standins/engines.py
+++ b/tests/standins/engines.py
@@ -16,14 +16,11 @@
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
-    Crashed,
-    Failure,
-    Refused,
     Token,
     TokensArrived,
-    Unreachable,
     UpstreamProbed,
 )
+from tarragonrudder.core.failure import Crashed, Failure, Refused, Unreachable
 from tarragonrudder.core.fleet import Configuration
 from tests.standins import model
 
--- a/tests/standins/virtual.py
+++ b/tests/standins/virtual.py
@@ -14,22 +14,22 @@
 import orjson
 
 from tarragonrudder.core import action as actions
+from tarragonrudder.core.configuration_event import ConfigurationRead
 from tarragonrudder.core.event import (
     CallerGone,
     ChatRequested,
-    ConfigurationRead,
     Event,
     NodeAddress,
     NodesListed,
     PeerLost,
     PeerReached,
-    PlatformFailed,
     TimerFired,
     VirtualMachine,
     VmsListed,
 )
 from tarragonrudder.core.fleet import Configuration
 from tarragonrudder.core.node import Node, NodeOptions
+from tarragonrudder.core.platform_event import PlatformFailed
 from tests.judge import Broken, Failed, Gone, Receipt, Whole
 from tests.standins.engines import EngineFleet
 
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -12,6 +12,7 @@
 
 from tarragonrudder.core import action as actions
 from tarragonrudder.core import event as events
+from tarragonrudder.core import failure as failures
 from tarragonrudder.core import fleet
 from tarragonrudder.core.layout import RecordOptions
 from tarragonrudder.core.node import Node, NodeOptions
@@ -356,28 +357,28 @@
         host = self.hosts[name]
         request, attempt = action.request, action.attempt
 
-        def fail(failure: events.Failure, delay: float) -> None:
+        def fail(failure: failures.Failure, delay: float) -> None:
             event = events.ServiceFailed(request, attempt, failure)
             self._reply(name, host, event, delay)
 
         if self.now >= action.send_by:
-            fail(events.Expired(), 0.0)
+            fail(failures.Expired(), 0.0)
             return
         fate = self.service_fates.pop(0) if self.service_fates else "ok"
         match fate:
             case "unreachable":
-                fail(events.Unreachable(), LINK_DELAY)
+                fail(failures.Unreachable(), LINK_DELAY)
                 return
             case "refuse":
-                fail(events.Refused(), LINK_DELAY)
+                fail(failures.Refused(), LINK_DELAY)
                 return
             case "before":
-                fail(events.Crashed(), LINK_DELAY)
+                fail(failures.Crashed(), LINK_DELAY)
                 return
         delay = self.service_delay
         if fate == "late":
             delay = action.timeout + 1.0
-            fail(events.Stalled(), action.timeout)
+            fail(failures.Stalled(), action.timeout)
 
         def run() -> None:
             number = len(self.journal)
@@ -387,7 +388,7 @@
             if fate == "late":
                 return
             if fate == "after":
-                fail(events.Crashed(), LINK_DELAY)
+                fail(failures.Crashed(), LINK_DELAY)
                 return
             answer = events.ServiceAnswered(
                 request, attempt, 201, "application/json", body
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -8,18 +8,16 @@
 from tarragonrudder.core.action import AskPeers, LoadConfiguration, LogDecision
 from tarragonrudder.core.adoption import Adoption
 from tarragonrudder.core.configuration import ConfigurationControl
-from tarragonrudder.core.configuration_record import ACCEPTED_KEY, encode_accepted
-from tarragonrudder.core.event import (
+from tarragonrudder.core.configuration_event import (
     ConfigurationRead,
     ConfigurationUnread,
-    PeerReached,
-    PlatformFailed,
-    PlatformValue,
-    TimerFired,
 )
+from tarragonrudder.core.configuration_record import ACCEPTED_KEY, encode_accepted
+from tarragonrudder.core.event import PeerReached, TimerFired
 from tarragonrudder.core.fleet import Configuration
 from tarragonrudder.core.message import GenerationAnnounced
 from tarragonrudder.core.node import Node, NodeOptions
+from tarragonrudder.core.platform_event import PlatformFailed, PlatformValue
 from tests.matrix import configuration as cells
 from tests.standins.control_fleet import TARGET, ControlFleet, Platform
 
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -13,14 +13,11 @@
 from tarragonrudder.core.event import (
     AttemptEnded,
     AttemptFailed,
-    Crashed,
     Event,
-    Malformed,
-    Refused,
     Token,
     TokensArrived,
-    Unreachable,
 )
+from tarragonrudder.core.failure import Crashed, Malformed, Refused, Unreachable
 from tarragonrudder.core.quarantine import Quarantine
 from tarragonrudder.core.recovery import Recovery
 from tarragonrudder.core.selection import Need, Selector
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,7 +17,7 @@
     """Refuse new work while the balancer still sends it."""
     decided = _HANDLE(node, event, now)
     if isinstance(event, StopRequested):
-        node._stop_at = now
+        node._drain._closed_at = now
     return decided
 
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -4,7 +4,6 @@
 import pytest
 
 from tarragonrudder.core import transition
-from tarragonrudder.core.event import PlatformValue
 from tarragonrudder.core.fleet import LayerRange
 from tarragonrudder.core.lease import PlannerLease
 from tarragonrudder.core.placement import Assignment, _Search
@@ -14,6 +13,7 @@
     RECORD_TAG,
     Planner,
 )
+from tarragonrudder.core.platform_event import PlatformValue
 from tests.matrix import placement as cells
 from tests.planning import START, OrderViolation, World
 
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -7,9 +7,10 @@
     SendPeer,
     SwapPlatform,
 )
-from tarragonrudder.core.event import NodeAddress, PlatformValue, Swapped
+from tarragonrudder.core.event import NodeAddress
 from tarragonrudder.core.layout import RecordOptions
 from tarragonrudder.core.message import RecordDecided, RecordSubmitted
+from tarragonrudder.core.platform_event import PlatformValue, Swapped
 from tarragonrudder.core.record import (
     Claim,
     Finished,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,17 +5,8 @@
 import trio
 
 from tarragonrudder.core.action import CallService, ReadOutcome
-from tarragonrudder.core.event import (
-    Crashed,
-    Event,
-    Expired,
-    OutcomeRead,
-    Refused,
-    ServiceAnswered,
-    ServiceFailed,
-    Stalled,
-    Unreachable,
-)
+from tarragonrudder.core.event import Event, OutcomeRead, ServiceAnswered, ServiceFailed
+from tarragonrudder.core.failure import Crashed, Expired, Refused, Stalled, Unreachable
 from tarragonrudder.edges.service import ServiceClient, ServiceInput
 
 GIVEN = ServiceInput("POST", "/x", "text/plain", b"body")
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -18,14 +18,16 @@
     AttemptEnded,
     AttemptFailed,
     CacheChanged,
-    Crashed,
     Event,
     LoadReported,
+    Token,
+    TokensArrived,
+)
+from tarragonrudder.core.failure import (
+    Crashed,
     Malformed,
     Refused,
     Stalled,
-    Token,
-    TokensArrived,
     Unreachable,
 )
 from tarragonrudder.core.fleet import LayerRange
