Spend less of a core on each token in the core

Cause: each token asked first whether it was about the configuration, built the chain's names twice and the links' names once. Names are kept with the chain and links with the names; tokens are looked at first.

--- a/src/tarragonrudder/core/chain.py
+++ b/src/tarragonrudder/core/chain.py
@@ -1,7 +1,7 @@
 """Chains of stages that one answer passes through, and their check."""
 
 import typing as t
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from tarragonrudder.core.fleet import Engine, LayerRange, Model
 from tarragonrudder.errors import ChainError
@@ -48,16 +48,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Chain:
-    """The ordered stages of one attempt; the first is its head."""
+    """The ordered stages of one attempt; the first is its head.
+
+    Attributes
+    ----------
+    upstreams : tuple of str
+        Names of the upstreams, in order; kept because each token needs them.
+    """
 
     model: str
     version: str
     hops: tuple[Hop, ...]
+    upstreams: tuple[str, ...] = field(init=False, repr=False, compare=False)
 
-    @property
-    def upstreams(self) -> tuple[str, ...]:
-        """Names of the upstreams, in order."""
-        return tuple(hop.upstream for hop in self.hops)
+    def __post_init__(self) -> None:
+        names = tuple(hop.upstream for hop in self.hops)
+        object.__setattr__(self, "upstreams", names)
 
     def describe(self) -> str:
         """Return a short text for logs, such as ``a[0-3] b[4-7]``."""
--- a/src/tarragonrudder/core/node.py
+++ b/src/tarragonrudder/core/node.py
@@ -191,11 +191,12 @@
             self.selector.observe_gap(observation.chain, observation.seconds, now)
 
     def _dispatch(self, event: Event, now: float) -> list[Action]:
+        # Most events are tokens: nothing else is asked about them.
+        if isinstance(event, TokensArrived):
+            return self.answers.merge_tokens(event, now)
         if self.control.handles(event):
             return self._control(event, now)
         match event:
-            case TokensArrived():
-                return self.answers.merge_tokens(event, now)
             case AttemptEnded():
                 return self.answers.merge_end(event, now)
             case AttemptFailed():
--- a/src/tarragonrudder/core/selection.py
+++ b/src/tarragonrudder/core/selection.py
@@ -60,6 +60,7 @@
         self._load = Load()
         self._prefixes = Prefixes()
         self._slowness = Slowness()
+        self._parts: dict[tuple[str, ...], list[str]] = {}
         self._mean_layers: dict[str, float] = {}
         self._now = 0.0
 
@@ -72,6 +73,7 @@
             self._links[name_link(link.source, link.target)] = link
         self._samplers.clear()
         self._mean_layers.clear()
+        self._parts.clear()
 
     def set_node_count(self, count: int) -> None:
         """Set the number of live nodes, which share the links."""
@@ -118,7 +120,10 @@
     def observe_gap(self, chain: Chain, gap: float, now: float) -> None:
         """Take in the seconds between two tokens of an attempt on a chain."""
         self._now = now
-        parts = [*chain.upstreams, *self._list_links(chain)]
+        parts = self._parts.get(chain.upstreams)
+        if parts is None:
+            parts = [*chain.upstreams, *self._list_links(chain)]
+            self._parts[chain.upstreams] = parts
         self._slowness.observe(chain, parts, gap)
 
     def describe(self, chain: Chain, prefix: str = "") -> dict[str, t.Any]:
