State the demand of the placement test for a whole batch

Cause: the cluster's folder states the engines' speed for a batch of 32 now, so one engine met the demand of 200 and the planner rightly moved only one. The demand is 32 times as much, the same ratio as before; the check is as strict.

--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -9,7 +9,7 @@
 from tarragonrudder.core.action import ReadHolding, SendOrder
 from tarragonrudder.core.event import HoldingRead, OrderAnswered
 from tarragonrudder.edges.order import OrderClient
-from tests.standins.cluster import API_KEY, Cluster, EngineSpec, wait_until
+from tests.standins.cluster import API_KEY, BATCH_LIMIT, Cluster, EngineSpec, wait_until
 from tests.standins.journal import read_journal
 
 PLACED_TIMEOUT = 90.0  # seconds
@@ -141,7 +141,8 @@
         "start = 00:00",
         "end = 00:00",
         "zone = Europe/Rome",
-        "demand = 200",
+        # More than one engine of a full batch gives, so that both must move.
+        f"demand = {200 * BATCH_LIMIT}",
     ]
     target = cluster.folder / "configuration" / "20-placement.ini"
     target.write_text("\n".join(lines) + "\n")
