--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -9,7 +9,7 @@
 from benchmarks.drive import Run
 from benchmarks.fairness import format_fairness, measure_fairness
 from benchmarks.fleet import make_site
-from benchmarks.outcome import Figures, measure
+from benchmarks.outcome import Figures, Outcome, measure
 from benchmarks.plot import draw_recoveries
 from benchmarks.recovery_time import Recovery, measure_recoveries
 from benchmarks.scenarios import (
@@ -42,8 +42,9 @@
     today = make_site("padane", 3, 0.001)
     league = make_site("league", 8, 0.003)
     rows = []
+    known: dict[tuple[int, str], list[Outcome]] = {}
     for scenario in list_scenarios(today, league):
-        rows.extend(_run_scenario(scenario))
+        rows.extend(_run_scenario(scenario, known))
     recoveries = measure_recoveries(today)
     rows.extend(_list_recoveries(recoveries))
     parts = [
@@ -60,13 +61,17 @@
     print(f"\n{time.monotonic() - began:.0f} s")
 
 
-def _run_scenario(scenario: Scenario) -> t.Iterator[Row]:
+def _run_scenario(
+    scenario: Scenario, known: dict[tuple[int, str], list[Outcome]]
+) -> t.Iterator[Row]:
+    """Yield a row for each policy; runs of the same setup are not repeated."""
     for policy, selector in POLICIES.items():
-        setup = replace(scenario.setup, selector=selector)
-        outcomes = Run(setup).run()
+        key = (id(scenario.setup), policy)
+        if key not in known:
+            known[key] = Run(replace(scenario.setup, selector=selector)).run()
         bound = scenario.site.bound
         begin = scenario.measured_from
-        figures = measure(outcomes, begin, DURATION - TAIL, bound)
+        figures = measure(known[key], begin, DURATION - TAIL, bound)
         yield Row(scenario.name, policy, figures)
 
 
