--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -39,7 +39,7 @@
 def main() -> None:
     """Run everything and print the table."""
     began = time.monotonic()
-    today = make_site("padane", 3, 0.001)
+    today = make_site("courts", 3, 0.001)
     league = make_site("league", 8, 0.003)
     rows = []
     known: dict[tuple[int, str], list[Outcome]] = {}
