Answer accepted peer messages without an error behind the answer

Cause: a response without a body is streamed by the HTTP library from an empty iterable on an event loop that isn't there; after the 204's head had left, the handler raised RuntimeError for each accepted message. Found by a new test that forged messages are counted, whose case with an authentic message failed first. Ruled out: the message's decoding.

--- a/src/tarragonrudder/edges/peer.py
+++ b/src/tarragonrudder/edges/peer.py
@@ -189,6 +189,6 @@
             metrics.count("peer.refused")
             return Response(str(error), status=403)
         post(event)
-        return Response(status=204)
+        return Response(b"", status=204)
 
     return app
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,12 +10,14 @@
 
 from tarragonrudder.core.event import PeerReached
 from tarragonrudder.core.message import Facts, GenerationAnnounced, UpstreamLeaving
+from tarragonrudder.edges.metrics import Metrics
 from tarragonrudder.edges.peer import (
     MESSAGE_PATH,
     SIGNATURE_HEADER,
     PeerSecrets,
     decode_message,
     encode_message,
+    make_peer_app,
     parse_secrets,
 )
 from tarragonrudder.errors import PeerRefused, SettingsError
@@ -141,3 +143,34 @@
 def test_port_with_tls_refuses_plain_http(secured: Cluster) -> None:
     with pytest.raises(httpx.TransportError):
         httpx.post(secured.peer_addresses["node-0"] + MESSAGE_PATH, timeout=5.0)
+
+
+class Counts(Metrics):
+    """Metrics that are kept for a look."""
+
+    def __init__(self) -> None:
+        super().__init__(None, 0)
+        self.counted: dict[str, int] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        self.counted[name] = self.counted.get(name, 0) + amount
+
+
+@pytest.mark.parametrize(
+    ("signer", "status", "refused", "posted"),
+    [(SECRETS, 204, 0, 1), (OTHER, 403, 1, 0)],
+)
+async def test_refused_message_is_counted_and_changes_nothing(
+    signer: PeerSecrets, status: int, refused: int, posted: int
+) -> None:
+    counts = Counts()
+    events: list[t.Any] = []
+    app = make_peer_app("b", SECRETS, counts, events.append)
+    body = encode_message("a", "b", MESSAGE, time.time())
+    response = await app.test_client().post(
+        MESSAGE_PATH, data=body, headers={SIGNATURE_HEADER: signer.sign(body)}
+    )
+    assert response.status_code == status
+    assert counts.counted.get("peer.refused", 0) == refused
+    assert counts.counted["peer.bytes_received"] == len(body)
+    assert len(events) == posted
