Make the matrix's cells of answers and stops by one function

Both areas crossed steps with faults and bound the check to a cell in the same lines. Run: the stop's cells, the answers' cells of the step accept, the variants of the stop; all pass.

--- a/tests/matrix/answers.py
+++ b/tests/matrix/answers.py
@@ -5,12 +5,18 @@
 """
 
 import functools
-import typing as t
 import zlib
 
 from tarragonrudder.core.event import AttemptEnded, Event, Token, TokensArrived
 from tests import judge
-from tests.matrix.table import Cell, Impossible, Proved, ProvedByProcesses, Verdict
+from tests.matrix.table import (
+    Cell,
+    Impossible,
+    ProvedByProcesses,
+    Verdict,
+    cross,
+    prove,
+)
 from tests.standins.fleets import LAYER_COUNT, make_configuration
 from tests.standins.virtual import VirtualFleet
 
@@ -252,18 +258,13 @@
     """Return the verdict of one cell."""
     if "caller gone" in faults and step in EARLY:
         return Impossible(GONE_EARLY)
-    check: t.Any = functools.partial(check_cell, step, *faults)
-    check.__name__ = "check_cell"
-    return Proved(check)
+    return prove(check_cell, step, *faults)
 
 
 def list_cells() -> list[Cell]:
     """Return the cells of model answers."""
-    cells = []
-    for step in STEPS:
-        for faults in [*((fault,) for fault in FAULTS), *PAIRS]:
-            verdict = judge_one(step, faults)
-            cells.append(Cell(AREA, step, " and ".join(faults), verdict))
+    faults = [*((fault,) for fault in FAULTS), *PAIRS]
+    cells = cross(AREA, STEPS, faults, judge_one)
     for fault in ("stage killed", "stage stopped", "connection cut"):
         test = f"test_recovery_processes.py::test_recovery[{fault}]"
         cells.append(Cell(AREA, "processes", fault, ProvedByProcesses(test)))
--- a/tests/matrix/stop.py
+++ b/tests/matrix/stop.py
@@ -3,13 +3,19 @@
 The balancer goes on sending work to a stopping node until its lag is over.
 """
 
-import functools
 import typing as t
 import zlib
 
 from tarragonrudder.core.event import StopRequested
 from tests import judge
-from tests.matrix.table import Cell, Impossible, Proved, ProvedByProcesses, Verdict
+from tests.matrix.table import (
+    Cell,
+    Impossible,
+    ProvedByProcesses,
+    Verdict,
+    cross,
+    prove,
+)
 from tests.standins.fleets import LAYER_COUNT, make_configuration
 from tests.standins.virtual import VirtualFleet
 
@@ -174,18 +180,13 @@
         return Impossible("the process has ended")
     if step == "leave" and "caller gone" in faults:
         return Impossible("the node has no caller any more")
-    check: t.Any = functools.partial(check_cell, step, *faults)
-    check.__name__ = "check_cell"
-    return Proved(check)
+    return prove(check_cell, step, *faults)
 
 
 def list_cells() -> list[Cell]:
     """Return the cells of a planned stop."""
-    cells = []
-    for step in STEPS:
-        for faults in [*((fault,) for fault in FAULTS), *PAIRS]:
-            verdict = judge_one(step, faults)
-            cells.append(Cell(AREA, step, " and ".join(faults), verdict))
+    faults = [*((fault,) for fault in FAULTS), *PAIRS]
+    cells = cross(AREA, STEPS, faults, judge_one)
     for test in ("test_all_nodes_are_replaced_under_load", "test_platform_is_away"):
         name = f"test_stop_processes.py::{test}"
         verdict = ProvedByProcesses(name)
--- a/tests/matrix/table.py
+++ b/tests/matrix/table.py
@@ -1,5 +1,6 @@
 """Cells of the fault matrix and how each is printed."""
 
+import functools
 import typing as t
 from dataclasses import dataclass
 
@@ -48,3 +49,24 @@
     def name(self) -> str:
         """Stable name, such as ``records: write intent: answer lost``."""
         return f"{self.area}: {self.step}: {self.fault}"
+
+
+def prove(check: t.Callable[..., None], *arguments: str) -> Proved:
+    """Return the verdict of a cell that a check of these arguments proves."""
+    bound: t.Any = functools.partial(check, *arguments)
+    bound.__name__ = check.__name__
+    return Proved(bound)
+
+
+def cross(
+    area: str,
+    steps: t.Sequence[str],
+    faults: t.Sequence[tuple[str, ...]],
+    judge: t.Callable[[str, tuple[str, ...]], Verdict],
+) -> list[Cell]:
+    """Return the cells of each step with each fault or pair of faults."""
+    cells = []
+    for step in steps:
+        for met in faults:
+            cells.append(Cell(area, step, " and ".join(met), judge(step, met)))
+    return cells
