--- a/tests/site/upstream.py
+++ b/tests/site/upstream.py
@@ -154,6 +154,8 @@
         Id of a prompt part; it crashes when it begins an answer on it.
     crash_after : int
         Events of the answer before that.
+    limit : bytes or None
+        Requests a second that all its answers name as its limit, as on the wire.
     """
 
     name: str
@@ -176,6 +178,7 @@
     paused: int = 0  # responses that wait for the end of a pause
     crash_part: str | None = None
     crash_after: int = 0
+    limit: bytes | None = None
     crashed: trio.Event = field(default_factory=trio.Event)
     streams: set[trio.SocketStream] = field(default_factory=set)
     spoiled: set[h11.Connection] = field(default_factory=set)  # got extra bytes
@@ -296,6 +299,8 @@
             self.spoiled.add(connection)
         own = arrival.headers[b"attempt-id"]
         headers = [("Attempt-Id", b"other" if how.foreign else own)]
+        if self.limit is not None:
+            headers.append(("Server-Limit", self.limit))
         expected = arrival.headers.get(b"expect-instance", b"").decode()
         rejected = 421 if expected != self.name else how.reject
         if rejected is not None:
