--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+WORKERS ?= 4
 STAMP = $(VENV)/.installed
 
 .PHONY: setup test demo bench matrix check format
@@ -14,7 +15,8 @@
 	touch $(STAMP)
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(WORKERS) -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 demo: setup
 	$(BIN)/python -m tests.demo
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -450,6 +450,7 @@
                 await trio.sleep(0.05)
 
 
+@pytest.mark.alone
 async def test_culprit_is_known_to_all_nodes_at_once():
     async with open_site() as site:
         await site.add(*make_engines())
