Share the limits that upstreams name between the nodes

Callers saw an upstream in need overrun: it had named 4.8 requests/s and got 56 in 4 s where 34 were allowed. Class of fault: a signal of the upstream that nobody reads.

All that passes an upstream counts, also repeats, stages, probes, detours and orders. What no upstream can take soon is refused at once with the time when there is room.

Ruled out: equal parts alone (unused parts, a burst of one request from each of 400 nodes), an owner that grants (a round trip a request).

--- a/src/tarragonrudder/core/forwarding/path.py
+++ b/src/tarragonrudder/core/forwarding/path.py
@@ -7,6 +7,7 @@
 from tarragonrudder.core.domain.chain import Hop
 from tarragonrudder.core.domain.fleet import LayerRange
 from tarragonrudder.core.domain.route import AcceleratorKind, EngineProfile
+from tarragonrudder.core.forwarding.upstream_limits import UpstreamLimits
 from tarragonrudder.core.forwarding.upstream_table import Registration
 from tarragonrudder.core.forwarding.usage_tracker import UsageTracker
 from tarragonrudder.core.selection.slowness import SlownessTracker
@@ -25,6 +26,9 @@
 # while each stage has capacity for tens of requests. A crossing pays only where the
 # data centre's own path is lost or full.
 CROSSING_WEIGHT = 60.0
+# Cost of a stage that named a limit: an upstream in need is spared while others have
+# room.
+LIMITED_PENALTY = 0.3
 # Counted part of a stage's memory above which it is full. It may exceed 1, as
 # requests are counted with their whole answers, of which half is written on average.
 FULL_THRESHOLD = 1.05
@@ -107,10 +111,12 @@
         profile: EngineProfile,
         usage_tracker: UsageTracker,
         slowness: SlownessTracker,
+        limits: UpstreamLimits,
         source: random.Random,
     ) -> None:
         self._service = service
         self._slowness = slowness
+        self._limits = limits
         self._profile = profile
         self._usage_tracker = usage_tracker
         self._random = source
@@ -291,6 +297,8 @@
         share = len(layers) / profile.layer_count
         fixed_cost = latency * HOP_SECONDS * demand.answer_tokens
         fixed_cost += MEMORY_WEIGHT * share * min(1.0, fill_ratio) ** 2
+        if engine.incarnation in self._limits:
+            fixed_cost += LIMITED_PENALTY
         if fill_ratio > 1.0:
             fixed_cost += FULL_PENALTY * fill_ratio
         return _Candidate(
--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -13,7 +13,9 @@
 )
 from tarragonrudder.core.domain.route import Account, Route, RouteTable
 from tarragonrudder.core.forwarding.crash_tracker import CrashReport, CrashTracker
+from tarragonrudder.core.forwarding.limit_gate import LimitGate
 from tarragonrudder.core.forwarding.path import Path, PathFinder, ResourceDemand
+from tarragonrudder.core.forwarding.upstream_limits import LimitReport, UpstreamLimits
 from tarragonrudder.core.forwarding.upstream_table import Registration, UpstreamTable
 from tarragonrudder.core.forwarding.usage_tracker import UsageTracker
 from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
@@ -56,25 +58,40 @@
 # still send what it wrote in its first pass.
 SOUND_EVENTS = 4
 REMOTE_PENALTY = 0.15  # added slot utilization, to prefer the own data centre
+LIMITED_PENALTY = 0.3  # added slot utilization, to spare upstreams in need
+MAX_LIMIT_RETRY_AFTER = 30.0  # seconds; a limit may have ended by then
 JITTER = 0.1  # random slot utilization, so that nodes don't all choose alike
 
 
 @dataclass(frozen=True, slots=True)
 class Wait:
-    """No path yet; search again at `until`, in seconds on the node's clock."""
+    """No path yet; search again at `until`, in seconds on the node's clock.
+
+    Attributes
+    ----------
+    limited : bool
+        Whether it is the limits of upstreams that leave no room.
+    """
 
     until: float
+    limited: bool = False
 
 
 class ForwardingState:
     """All decisions on opaque requests; does no I/O."""
 
     def __init__(
-        self, data_center: str, source: random.Random, retry_budget: WindowedRetryBudget
+        self,
+        node: str,
+        data_center: str,
+        source: random.Random,
+        retry_budget: WindowedRetryBudget,
     ) -> None:
         self._data_center = data_center
         self._random = source
         self.upstream_table = UpstreamTable()
+        self.limits = UpstreamLimits(node, source)
+        self.limit_gate = LimitGate(self.upstream_table, self.limits)
         self.usage_tracker = UsageTracker()
         self.retry_budget = retry_budget
         self.crash_tracker = CrashTracker()
@@ -87,6 +104,10 @@
         self.on_news: t.Callable[[], None] = lambda: None
         # Called with a trait that crashes upstreams, and their number.
         self.on_blocked: t.Callable[[Trait, int], None] = lambda trait, crashes: None
+        # Called with an upstream, its limit, and where that was learned.
+        self.on_limit: t.Callable[[str, float | None, str], None] = (
+            lambda upstream, limit, origin: None
+        )
 
     @property
     def version(self) -> int:
@@ -106,6 +127,7 @@
                     service.engine,
                     self.usage_tracker,
                     self.slowness,
+                    self.limits,
                     self._random,
                 )
         return True
@@ -137,9 +159,11 @@
         self, service: str, avoided: t.Container[str], now: float
     ) -> Registration | None:
         """Return the least loaded upstream of a plain service."""
-        candidates = self.upstream_table.list_usable(service, now, avoided)
+        usable = self.upstream_table.list_usable(service, now, avoided)
+        candidates = self.limit_gate.list_free(usable, now)
         if not candidates:
-            candidates = self.upstream_table.list_ready(service, avoided)
+            ready = self.upstream_table.list_ready(service, avoided)
+            candidates = self.limit_gate.list_free(ready, now)
         best, best_load = None, 0.0
         for upstream in candidates:
             usage = self.usage_tracker.measure(upstream.name)
@@ -147,6 +171,8 @@
             load += JITTER * self._random.random()
             if upstream.data_center != self._data_center:
                 load += REMOTE_PENALTY
+            if upstream.incarnation in self.limits:
+                load += LIMITED_PENALTY
             if best is None or load < best_load:
                 best, best_load = upstream, load
         return best
@@ -188,13 +214,22 @@
             return Overloaded(message, retry_after=self._add_jitter(FULL_RETRY_AFTER))
         path = self._search(request, service, avoided, first_upstreams, route, now)
         if path is not None and (path.has_capacity or may_have_run):
+            self.limit_gate.leave(request.request_id)
             return path
-        if now - waiting_since < (
+        max_wait = (
             RESUME_WAIT if may_have_run else PATH_WAIT_SHARE * route.first_byte_target
-        ):
-            return Wait(now + PATH_POLL_PERIOD)
+        )
+        limit_wait = None
+        if path is None:
+            limit_wait = self.estimate_limit_wait(request, service, avoided, now)
+        remaining = waiting_since + max_wait - now
+        if remaining > 0.0 and (limit_wait is None or limit_wait <= remaining):
+            return Wait(now + PATH_POLL_PERIOD, limit_wait is not None)
+        self.limit_gate.leave(request.request_id)
         if may_have_run:
             return UpstreamFailed("no other path is left", RunState.UNKNOWN)
+        if limit_wait is not None:
+            return self._refuse_limited(limit_wait)
         if path is not None:
             return Overloaded(
                 "all paths are full", retry_after=self._add_jitter(FULL_RETRY_AFTER)
@@ -222,14 +257,73 @@
         after = self._add_jitter(BUDGET_RETRY_AFTER)
         return Overloaded("too many requests were sent again", retry_after=after)
 
-    def refuse_call(self, may_have_run: bool) -> Problem:
+    def refuse_call(
+        self,
+        request: ForwardedRequest,
+        service: str,
+        avoided: t.Container[str],
+        may_have_run: bool,
+        now: float,
+    ) -> Problem:
         """Return the error of a plain request that no upstream answered."""
+        limit_wait = self.estimate_limit_wait(request, service, avoided, now)
+        self.limit_gate.leave(request.request_id)
         if may_have_run:
             return OutcomeUnknown("the upstream broke off", RunState.UNKNOWN)
+        if limit_wait is not None:
+            return self._refuse_limited(limit_wait)
         return Overloaded(
             "no upstream has room", retry_after=self._add_jitter(CALL_RETRY_AFTER)
         )
 
+    def estimate_limit_wait(
+        self,
+        request: ForwardedRequest,
+        service: str,
+        avoided: t.Container[str],
+        now: float,
+    ) -> float | None:
+        """Return the seconds until the upstreams' limits leave room for a request.
+
+        Returns
+        -------
+        float or None
+            None if it isn't the limits that keep it from being sent.
+        """
+        if not len(self.limits):
+            return None
+        ready = self.upstream_table.list_ready(service, avoided)
+        finder = self._finders.get(service)
+        if finder is not None:
+            demand = self.estimate_demand(request, service)
+            if finder.find(ready, demand) is None:
+                return None
+        return self.limit_gate.estimate_wait(request.request_id, ready, now)
+
+    def observe_limit(
+        self, upstream: Registration, limit: float | None, now: float
+    ) -> None:
+        """Record the limit that an upstream's answer named, None without one."""
+        if self.limits.observe(upstream.incarnation, limit, now):
+            self.on_limit(upstream.incarnation, limit, "answer")
+            self.on_news()
+
+    def merge_limits(
+        self, node: str, reports: t.Mapping[str, LimitReport], now: float
+    ) -> None:
+        """Add what a peer knows of limits, and what it sends."""
+        news = self.limits.merge(node, reports, now)
+        for upstream in news:
+            self.on_limit(upstream, reports[upstream].limit, node)
+        if news:
+            self.on_news()
+
+    def expire_limits(self, now: float) -> None:
+        """Drop limits that no longer hold."""
+        known = {upstream.incarnation for upstream in self.upstream_table}
+        for upstream in self.limits.expire(known, now):
+            self.on_limit(upstream, None, "no answer")
+
     def note_rejection(self, name: str, rejection: Rejected, now: float) -> None:
         """Avoid an upstream that rejected a request without running it."""
         period = MISDIRECTED_PERIOD if rejection.misdirected else REJECTED_PERIOD
@@ -324,7 +418,9 @@
         finder = self._finders.get(path.service)
         if finder is None:
             return None
-        usable = self.upstream_table.list_usable(path.service, now, avoided | replaced)
+        usable = self.limit_gate.list_free(
+            self.upstream_table.list_usable(path.service, now, avoided | replaced), now
+        )
         demand = self.estimate_demand(request, path.service)
         found = finder.find_detour(usable, path, replaced, demand)
         if found is None or may_cross or len(found.links) <= len(path.links):
@@ -389,6 +485,14 @@
             self.on_blocked(trait, self.crash_tracker.count_crashes(trait))
         self._reported_blocks = frozenset(blocked)
 
+    def _refuse_limited(self, wait: float) -> Problem:
+        after = self._add_jitter(FULL_RETRY_AFTER)
+        if math.isfinite(wait):
+            after = min(MAX_LIMIT_RETRY_AFTER, wait + after)
+        return Overloaded(
+            "the limits of the upstreams are used up", retry_after=round(after, 2)
+        )
+
     def _add_jitter(self, period: float) -> float:
         """Return a random Retry-After in the upper half of `period`, in seconds."""
         return round(period * (0.5 + 0.5 * self._random.random()), 2)
@@ -430,7 +534,12 @@
         finder = self._finders.get(service)
         if finder is None:
             return None
-        usable = self.upstream_table.list_usable(service, now, avoided)
+        usable = self.limit_gate.list_free(
+            self.upstream_table.list_usable(service, now, avoided), now
+        )
+        ready = self.limit_gate.list_free(
+            self.upstream_table.list_ready(service, avoided), now
+        )
         first_choices: tuple[str | None, ...] = (None,)
         if len(first_upstreams) >= route.max_upstreams:
             first_choices = tuple(sorted(first_upstreams - avoided))
@@ -441,9 +550,7 @@
             path = finder.find(usable, demand)
             if path is None:
                 # A suspected engine is better than none.
-                path = finder.find(
-                    self.upstream_table.list_ready(service, avoided), demand
-                )
+                path = finder.find(ready, demand)
             if path is not None:
                 return path
         return None
--- a/src/tarragonrudder/edges/job.py
+++ b/src/tarragonrudder/edges/job.py
@@ -93,25 +93,34 @@
         self.upstreams = upstreams
         self.log = log
 
-    def start_send(self, job: Job, name: str) -> bool:
+    def start_send(self, job: Job, names: t.Sequence[str]) -> bool:
         """Count a send; return False if the limit or the retry budget is exhausted.
 
+        Parameters
+        ----------
+        names : sequence of str
+            Upstreams that it passes, the one that it is sent to first.
+
+        Notes
+        -----
         Counted before the connection is open, so that attempts that start meanwhile
         stay within the limits. `open` must follow, or `take_back`.
         """
         if job.sends >= MAX_SENDS:
             return False
+        now = trio.current_time()
         if job.sends > 0:
-            now = trio.current_time()
             if not self.state.retry_budget.withdraw(job.service, now):
                 return False
             job.retried_at.append(now)
-        job.sent_to.append(name)
+        self.state.limit_gate.take(names, now)
+        job.sent_to.append(names[0])
         return True
 
-    def take_back(self, job: Job, name: str) -> None:
+    def take_back(self, job: Job, names: t.Sequence[str]) -> None:
         """Uncount a send of which nothing was sent."""
-        job.sent_to.remove(name)
+        self.state.limit_gate.give_back(names, trio.current_time())
+        job.sent_to.remove(names[0])
         if job.retried_at:
             # The first send is free, whichever of them it is in the end.
             self.state.retry_budget.refund(job.service, job.retried_at.pop())
@@ -122,7 +131,7 @@
         try:
             return await self.upstreams.open(dispatch)
         except ConnectFailed as error:
-            self.take_back(job, name)
+            self.take_back(job, dispatch.names)
             self.log(
                 "unreachable", job.request.request_id, upstream=name, reason=str(error)
             )
@@ -130,7 +139,7 @@
             job.avoided.add(name)
             return None
         except trio.Cancelled:
-            self.take_back(job, name)
+            self.take_back(job, dispatch.names)
             raise
 
     def handle_broken(
@@ -156,6 +165,15 @@
         )
         job.avoided.add(upstream.name)
 
+    def log_held(self, job: Job) -> None:
+        """Log that a request waits for upstreams at their limits."""
+        self.log(
+            "held",
+            job.request.request_id,
+            service=job.service,
+            reason="the limits of the upstreams are used up",
+        )
+
     def log_end(self, job: Job, status: int, **fields: t.Any) -> None:
         """Log that an upstream's answer was forwarded completely."""
         took = round(trio.current_time() - job.request.arrived, 3)
--- a/src/tarragonrudder/edges/plain_calls.py
+++ b/src/tarragonrudder/edges/plain_calls.py
@@ -10,6 +10,7 @@
     InvalidResponse,
     Rejected,
 )
+from tarragonrudder.core.forwarding.state import PATH_POLL_PERIOD, PATH_WAIT_SHARE
 from tarragonrudder.core.forwarding.upstream_table import Registration
 from tarragonrudder.edges.connection import BrokenConnection
 from tarragonrudder.edges.job import AnswerTooLarge, Job, Sender, read_whole
@@ -44,7 +45,10 @@
         """Answer a request; return the problem if it can't be answered."""
         answer = await _Call(job, self._sender).collect_answer()
         if answer is None:
-            return self._sender.state.refuse_call(job.may_have_run)
+            now = trio.current_time()
+            return self._sender.state.refuse_call(
+                job.request, job.service, job.avoided, job.may_have_run, now
+            )
         response = answer.response
         await reply.send_whole(response.status, response.headers, answer.body)
         self._sender.log_end(job, response.status, upstream=answer.upstream)
@@ -63,6 +67,7 @@
         self._sender = sender
         self._state = sender.state
         self._suspected: set[str] = set()
+        self._held = False
 
     async def collect_answer(self) -> _Answer | None:
         """Return the best answer of an upstream, None if there is none.
@@ -75,11 +80,15 @@
         async with trio.open_nursery() as nursery:
             while True:
                 upstream = self._choose()
-                if upstream is not None and self._sender.start_send(job, upstream.name):
+                if upstream is not None and self._sender.start_send(
+                    job, (upstream.name,)
+                ):
                     job.avoided.add(upstream.name)
                     job.running[upstream.name] = trio.current_time()
                     nursery.start_soon(self._run_attempt, upstream, sender)
                 elif not job.running:
+                    if failure is None and await self._wait_for_turn():
+                        continue
                     return failure
                 until = trio.current_time() + self._compute_retry_timeout()
                 if failure is not None:
@@ -110,6 +119,26 @@
             return None
         return self._state.choose_upstream(job.service, job.avoided, now)
 
+    async def _wait_for_turn(self) -> bool:
+        """Wait a little for an upstream at its limit; return whether that may help."""
+        job = self._job
+        if job.may_have_run and not job.route.idempotent or not job.has_upstreams_left:
+            return False
+        now = trio.current_time()
+        remaining = (
+            job.request.arrived + PATH_WAIT_SHARE * job.route.first_byte_target - now
+        )
+        wait = self._state.estimate_limit_wait(
+            job.request, job.service, job.avoided, now
+        )
+        if wait is None or wait > remaining:
+            return False
+        if not self._held:
+            self._held = True
+            self._sender.log_held(job)
+        await trio.sleep(PATH_POLL_PERIOD)
+        return True
+
     async def _run_attempt(
         self, upstream: Registration, sender: trio.MemorySendChannel[_Answer | None]
     ) -> None:
--- a/src/tarragonrudder/edges/relay_interfaces.py
+++ b/src/tarragonrudder/edges/relay_interfaces.py
@@ -37,6 +37,13 @@
     last_event: int | None = None
     fresh: bool = False
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Upstreams that the request passes, the one that it is sent to first."""
+        if not self.hops:
+            return (self.upstream.name,)
+        return tuple(hop.upstream for hop in self.hops)
+
 
 class Attempt(t.Protocol):
     """One attempt of a request at one upstream."""
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -121,7 +121,7 @@
             path = await self._find_path()
             if isinstance(path, Problem):
                 return path
-            if not self._sender.start_send(job, path.hops[0].upstream):
+            if not self._sender.start_send(job, path.names):
                 return self._state.refuse_retry()
             if await self._send(path):
                 return None
@@ -166,6 +166,7 @@
         """Return the path of the next attempt; wait for one while that may help."""
         job = self._job
         since = trio.current_time()
+        held = False
         while True:
             found = self._state.find_path(
                 job.request,
@@ -179,6 +180,9 @@
             )
             if not isinstance(found, Wait):
                 return found
+            if found.limited and not held:
+                held = True
+                self._sender.log_held(job)
             await trio.sleep_until(min(found.until, job.deadline))
 
     async def _send(self, path: Path) -> bool:
@@ -187,7 +191,7 @@
         first = path.hops[0].upstream
         upstream = self._state.upstream_table.find(first)
         if upstream is None:
-            self._sender.take_back(job, first)
+            self._sender.take_back(job, path.names)
             return False
         dispatch = Dispatch(
             job.request,
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -80,11 +80,11 @@
         budget = WindowedRetryBudget(
             bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
         )
-        self.state = ForwardingState(settings.zone, source, budget)
+        self.state = ForwardingState(settings.node, settings.zone, source, budget)
         self._store = MetadataStore(
             settings.platform.address, self._telemetry.observe_store_call
         )
-        self._upstreams = PlatformUpstreamClient()
+        self._upstreams = PlatformUpstreamClient(self.state.observe_limit, log)
         self._relay = Relay(self.state, self._upstreams, log)
         self._ingress = Ingress(self._relay, self._get_limits, log)
         self.registry = Registry(
@@ -109,6 +109,7 @@
         self.registry.on_adopted = self.peers.announce
         self.state.on_news = self.peers.announce
         self.state.on_blocked = self._log_blocked
+        self.state.on_limit = self._log_limit
         self.registry.on_draining = self._relay.notify_streams
         self._planner = LoadingPlanner(
             settings.node,
@@ -199,6 +200,13 @@
             "blocked", kind=trait.kind, key=trait.key, crashes=crashes
         )
 
+    def _log_limit(self, upstream: str, limit: float | None, origin: str) -> None:
+        log = self._telemetry.log_event
+        if limit is None:
+            log("limit_ended", upstream=upstream, source=origin)
+        else:
+            log("limit_named", upstream=upstream, limit=limit, source=origin)
+
     def _update_gauges(self) -> None:
         """Set all gauges to their current values."""
         telemetry = self._telemetry
@@ -211,6 +219,7 @@
         telemetry.set("upstreams", ready, "ready")
         telemetry.set("upstreams", draining, "leaving")
         telemetry.set("upstreams", suspected, "suspected")
+        telemetry.set("upstreams_limited", len(self.state.limits))
         telemetry.set("requests_running", self._ingress.active)
         telemetry.set("configuration_version", self.state.version)
         telemetry.set("store_away", self.registry.is_store_unavailable)
@@ -225,12 +234,24 @@
             self._upstreams.close_expired()
             self.state.upstream_table.expire(now)
             self.state.crash_tracker.expire(now)
+            self.state.expire_limits(now)
+            self._update_nodes()
             self.state.usage_tracker.set_node_count(self.registry.node_count)
             self.state.retry_budget.set_node_count(
                 1 + len(self.peers.list_peer_addresses())
             )
             self._telemetry.flush()
 
+    def _update_nodes(self) -> None:
+        """Set the nodes that share the upstreams' limits.
+
+        Load pattern: after an outage of the store the list of nodes may be empty for
+        a moment; a node must not take all of a limit for itself then.
+        """
+        heard = self.peers.list_heard(NODE_LEASE_TTL)
+        if self.registry.has_snapshot or heard:
+            self.state.limits.set_nodes([*self.registry.node_names, *heard])
+
     async def _watch_signals(self) -> None:
         """Reload on SIGHUP; on SIGTERM stop the node, then return."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
--- a/src/tarragonrudder/platform/http_client.py
+++ b/src/tarragonrudder/platform/http_client.py
@@ -18,6 +18,7 @@
 
     status_code: int
     content: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 def make_client(
@@ -86,5 +87,6 @@
                     raise httpx.ReadError(f"a body of over {max_bytes} bytes")
                 # Bytes at hand are returned without one.
                 await trio.lowlevel.checkpoint()
-            return WholeResponse(response.status_code, bytes(content))
+            headers = tuple(response.headers.raw)
+            return WholeResponse(response.status_code, bytes(content), headers)
     raise httpx.ReadTimeout(f"not complete in {TIMEOUTS_PER_CALL * timeout} s")
--- a/src/tarragonrudder/platform/loading_planner.py
+++ b/src/tarragonrudder/platform/loading_planner.py
@@ -124,6 +124,7 @@
         upstream = self._state.upstream_table.find(order.upstream)
         if upstream is None:
             return
+        self._state.limit_gate.take((upstream.name,), trio.current_time())
         outcome = await self._upstreams.order_placement(
             upstream, order.layers, self._fencing_token
         )
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -16,6 +16,7 @@
     CrashReport,
 )
 from tarragonrudder.core.forwarding.state import ForwardingState
+from tarragonrudder.core.forwarding.upstream_limits import MAX_REPORTS, LimitReport
 from tarragonrudder.core.forwarding.usage_tracker import Usage
 from tarragonrudder.platform.http_client import (
     WholeResponse,
@@ -71,6 +72,7 @@
         self._log = log
         self._random = source
         self._known_addresses: set[str] = set()
+        self._heard_at: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
         self._announce_pending = False
         self._client = make_client(
@@ -134,6 +136,13 @@
         found.discard(self._address)
         return sorted(found)
 
+    def list_heard(self, period: float) -> list[str]:
+        """Return the names of the nodes heard in the last `period` seconds."""
+        oldest = trio.current_time() - period
+        for name in [name for name, at in self._heard_at.items() if at < oldest]:
+            del self._heard_at[name]
+        return list(self._heard_at)
+
     async def _run_rounds(self) -> None:
         while True:
             chosen = self._sample_peers(FANOUT)
@@ -209,6 +218,7 @@
                     self._state.crash_tracker.snapshot(now)
                 ),
                 "culprits": self._state.list_culprits(now),
+                "limits": _encode_limits(self._state.limits.snapshot(now)),
             }
         )
 
@@ -221,14 +231,18 @@
             for name, (requests, tokens) in message["usage"].items():
                 usage[str(name)] = Usage(int(requests), int(tokens))
             crash_reports = _decode_crash_reports(message.get("crash_reports", []))
+            limits = _decode_limits(message.get("limits", []))
             culprits = {str(k): float(v) for k, v in message["culprits"].items()}
             address = str(message["address"])
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"invalid message from a peer: {error!r}") from error
+        if len(self._heard_at) < MAX_KNOWN_PEERS:
+            self._heard_at[node] = now
         if len(self._known_addresses) < MAX_KNOWN_PEERS:
             self._known_addresses.add(address)
         self._state.usage_tracker.set_peer(node, usage, now)
         self._state.merge_crash_reports(crash_reports, now)
+        self._state.merge_limits(node, limits, now)
         for name, remaining in culprits.items():
             if self._state.merge_culprit(name, remaining, now):
                 self._on_culprit(name)
@@ -251,3 +265,23 @@
         crash_ages = {str(name): float(age) for name, age in ages.items()}
         reports[Trait(kind, str(key))] = CrashReport(float(sound_age), crash_ages)
     return reports
+
+
+def _encode_limits(reports: t.Mapping[str, LimitReport]) -> list[t.Any]:
+    rows = []
+    for upstream, report in reports.items():
+        rows.append(
+            [upstream, report.limit, round(report.age, 3), round(report.rate, 2)]
+        )
+    return rows
+
+
+def _decode_limits(rows: t.Any) -> dict[str, LimitReport]:
+    """Decode a peer's reports; raises TypeError or ValueError if they are invalid."""
+    reports = {}
+    for upstream, limit, age, rate in rows[:MAX_REPORTS]:
+        value = None if limit is None else max(0.0, float(limit))
+        reports[str(upstream)] = LimitReport(
+            value, max(0.0, float(age)), max(0.0, float(rate))
+        )
+    return reports
--- a/src/tarragonrudder/platform/protocol.py
+++ b/src/tarragonrudder/platform/protocol.py
@@ -13,6 +13,8 @@
 PATH = b"hop-count"
 # Address of the stage that caused the first stage to reject a request.
 CULPRIT = b"at-server"
+# Requests a second that an upstream takes from all nodes together.
+LIMIT = b"server-limit"
 LAST_EVENT_ID = b"last-event-id"
 # Number of prompt tokens and maximum number of output tokens of a request.
 TOKEN_USAGE = b"token-usage"
--- a/src/tarragonrudder/platform/registry.py
+++ b/src/tarragonrudder/platform/registry.py
@@ -103,6 +103,15 @@
         has_planner = protocol.PLANNER_KEY in self.router_items
         return max(1, len(self.router_items) - has_planner)
 
+    @property
+    def node_names(self) -> list[str]:
+        """Names of the registered nodes; may not include this one yet."""
+        found = []
+        for key in self.router_items:
+            if key.startswith(protocol.NODE_PREFIX):
+                found.append(key.removeprefix(protocol.NODE_PREFIX))
+        return found
+
     def start(self, nursery: trio.Nursery) -> None:
         """Start to watch the store."""
         nursery.start_soon(self._run_watch)
--- a/src/tarragonrudder/platform/upstream_client.py
+++ b/src/tarragonrudder/platform/upstream_client.py
@@ -1,5 +1,6 @@
 """HTTP client of upstreams: forwards requests, fetches reports and sends orders."""
 
+import re
 import typing as t
 
 import httpx
@@ -21,6 +22,7 @@
     ResponseHead,
     open_connection,
 )
+from tarragonrudder.edges.job import LogFunction
 from tarragonrudder.edges.relay_interfaces import DetourOutcome, Dispatch, StallReport
 from tarragonrudder.platform import protocol
 from tarragonrudder.platform.http_client import (
@@ -46,6 +48,15 @@
 # Statuses that promise that the request was not run.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
+MISDIRECTED = 421
+LIMIT_PATTERN = re.compile(rb"[0-9]{1,32}(\.[0-9]{0,32})?([eE][+-]?[0-9]{1,3})?")
+MAX_LOGGED_VALUE = 64  # bytes of a header's value
+# Called with an upstream, the headers of its answer, and whether these are complete:
+# what they don't name holds no more.
+HeadObserver: t.TypeAlias = t.Callable[
+    [Registration, t.Iterable[tuple[bytes, bytes]], bool], None
+]
+
 # Headers that apply to a single connection, and Content-Length, which the router sets.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -118,9 +129,14 @@
     """One attempt to run a request, over one connection."""
 
     def __init__(
-        self, pool: "ConnectionPool", connection: ClientConnection, dispatch: Dispatch
+        self,
+        pool: "ConnectionPool",
+        connection: ClientConnection,
+        dispatch: Dispatch,
+        observe_head: HeadObserver,
     ) -> None:
         self._pool = pool
+        self._observe_head = observe_head
         self._connection: ClientConnection | None = connection
         self._dispatch = dispatch
         self._idle_timeout = IDLE_TIMEOUT
@@ -154,6 +170,8 @@
         """Read the response head and classify it."""
         head = await self._require_connection().read_head()
         self._idle_timeout = _read_idle_timeout(head)
+        if head.status != MISDIRECTED:  # from whoever has the address now
+            self._observe_head(self._dispatch.upstream, head.headers, True)
         return classify_response(head, self._request_id)
 
     async def read_body(self) -> bytes | None:
@@ -232,9 +250,22 @@
 
 
 class PlatformUpstreamClient:
-    """HTTP client for all upstreams."""
+    """HTTP client for all upstreams.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    observe_limit : callable
+        Called with each upstream that answers, the limit that it names in requests a
+        second, None without one, and the time.
+    """
+
+    def __init__(
+        self,
+        observe_limit: t.Callable[[Registration, float | None, float], None],
+        log: LogFunction,
+    ) -> None:
+        self._observe_limit = observe_limit
+        self._log = log
         self._pool = ConnectionPool()
         self._client = make_client(
             REPORT_TIMEOUT, MAX_CONNECTIONS, MAX_IDLE_CONNECTIONS
@@ -252,7 +283,7 @@
         connection = None if dispatch.fresh else self._pool.acquire(address)
         if connection is None:
             connection = await open_connection(address)
-        return PlatformAttempt(self._pool, connection, dispatch)
+        return PlatformAttempt(self._pool, connection, dispatch, self._observe_head)
 
     async def fetch_report(self, upstream: Registration) -> StallReport | None:
         """Fetch an engine's report; return None if that fails."""
@@ -261,6 +292,7 @@
             response = await fetch_whole(
                 self._client, "GET", url, REPORT_TIMEOUT, MAX_REPORT_BYTES
             )
+            self._observe_head(upstream, response.headers, False)
             found = orjson.loads(response.content)
             stalled = found.get("stalled") or ()
             return StallReport(tuple(str(item["address"]) for item in stalled))
@@ -337,6 +369,32 @@
             headers=headers,
         )
 
+    def _observe_head(
+        self,
+        upstream: Registration,
+        headers: t.Iterable[tuple[bytes, bytes]],
+        complete: bool,
+    ) -> None:
+        values = [value for name, value in headers if name.lower() == protocol.LIMIT]
+        limits = []
+        for value in values:
+            limit = decode_limit(value)
+            if limit is not None:
+                limits.append(limit)
+                continue
+            self._log(
+                "limit_invalid",
+                None,
+                upstream=upstream.name,
+                value=value[:MAX_LOGGED_VALUE].decode("latin-1"),
+                reason="not a number of 0 or more; it is ignored",
+            )
+        now = trio.current_time()
+        if limits:
+            self._observe_limit(upstream, min(limits), now)
+        elif complete and not values:
+            self._observe_limit(upstream, None, now)
+
     def close_expired(self) -> None:
         """Close pooled connections whose idle timeout has expired."""
         self._pool.close_expired()
@@ -347,6 +405,14 @@
         await self._client.aclose()
 
 
+def decode_limit(value: bytes) -> float | None:
+    """Return a limit in requests a second; None if it is no number of 0 or more."""
+    text = value.strip()
+    if not LIMIT_PATTERN.fullmatch(text):
+        return None
+    return float(text)
+
+
 def _read_idle_timeout(head: ResponseHead) -> float:
     value = head.find(b"keep-alive") or b""
     for part in value.split(b","):
--- a/tests/forwarding/fleet.py
+++ b/tests/forwarding/fleet.py
@@ -83,7 +83,7 @@
 
 def make_state(table=None, data_center="a", seed=1) -> ForwardingState:
     budget = WindowedRetryBudget(0.2, 198.0, 10.0)
-    state = ForwardingState(data_center, random.Random(seed), budget)
+    state = ForwardingState("node-1", data_center, random.Random(seed), budget)
     state.adopt(table or make_table())
     return state
 
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -7,6 +7,7 @@
     ResourceDemand,
     measure_capacity,
 )
+from tarragonrudder.core.forwarding.upstream_limits import UpstreamLimits
 from tarragonrudder.core.forwarding.usage_tracker import UsageTracker
 from tarragonrudder.core.selection.slowness import SlownessTracker
 from tests.forwarding.fleet import PROFILE, make_engine
@@ -20,6 +21,7 @@
         PROFILE,
         usage_tracker or UsageTracker(),
         SlownessTracker(),
+        UpstreamLimits("node-1", random.Random(3)),
         random.Random(3),
     )
 
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -266,7 +266,7 @@
 @pytest.mark.parametrize("ran", [False, True])
 def test_call_without_an_upstream(ran):
     table = make_table(routes=[make_call_route()])
-    problem = make_state(table).refuse_call(ran)
+    problem = make_state(table).refuse_call(make_request(), "plain", (), ran, 0.0)
     assert (problem.status, problem.retry_after is None) == (502 if ran else 503, ran)
 
 
