--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -201,11 +201,12 @@
         )
 
     def _log_limit(self, upstream: str, limit: float | None, origin: str) -> None:
-        log = self._telemetry.log_event
         if limit is None:
-            log("limit_ended", upstream=upstream, source=origin)
-        else:
-            log("limit_named", upstream=upstream, limit=limit, source=origin)
+            self._telemetry.log_event("limit_ended", upstream=upstream, source=origin)
+            return
+        self._telemetry.log_event(
+            "limit_named", upstream=upstream, limit=limit, source=origin
+        )
 
     def _update_gauges(self) -> None:
         """Set all gauges to their current values."""
