Reproduce callers refused by a node that reaches no upstream

Links of the stand-ins can now be cut: open connections are reset, hang or live on, new ones are refused or hang.

--- a/tests/site/site.py
+++ b/tests/site/site.py
@@ -10,6 +10,7 @@
 from tarragonrudder.platform.node_settings import PlatformNodeSettings
 from tests.site.store import StoreStandIn
 from tests.site.upstream import UpstreamStandIn
+from tests.soak.proxy import Cut, Link
 from tests.standins.cluster import find_ports
 
 ENGINE = {
@@ -100,28 +101,42 @@
 class Node:
     """One node under test."""
 
-    def __init__(self, site: "Site", seeds: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self, site: "Site", seeds: tuple[str, ...] = (), store: str = ""
+    ) -> None:
+        self.links: list[Link] = []
         number = next(_numbers)
         self.ip = f"127.0.{1 + number // 200}.{1 + number % 200}"
-        *ports, metrics = find_ports(4, self.ip)
+        *ports, internal, metrics = find_ports(5, self.ip)
         self.front, self.ready, self.control = (f"{self.ip}:{port}" for port in ports)
         self.settings = PlatformNodeSettings.model_validate(
             {
                 "node": f"node-{number}",
                 "ip": self.ip,
                 "zone": "zone-a",
+                "internal-ports": (internal, internal),
                 "seeds": seeds,
                 "listen": {
                     "front": self.front,
                     "ready": self.ready,
                     "control": self.control,
                 },
-                "platform": {"address": site.store.address},
+                "platform": {"address": store or site.store.address},
             }
         )
         self.metrics = f"http://{self.ip}:{metrics}/metrics"
         self.daemon = PlatformDaemon(None, self.settings, metrics)
 
+    def cut(self, how: Cut, share: float = 1.0) -> None:
+        """Cut the node off from some of its upstreams."""
+        for link in self.links[: round(share * len(self.links))]:
+            link.cut(how)
+
+    def restore(self) -> None:
+        """End a cut."""
+        for link in self.links:
+            link.restore()
+
     async def connect(self) -> trio.SocketStream:
         """Open a caller's connection."""
         host, _, port = self.front.rpartition(":")
@@ -193,6 +208,7 @@
     """A store with upstreams; can start nodes."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
+        self.upstreams: list[UpstreamStandIn] = []
         self.store = StoreStandIn()
         self.nursery = nursery
 
@@ -208,11 +224,32 @@
         """Start upstreams and register them in the store."""
         for upstream in upstreams:
             await self.nursery.start(upstream.run)
+            self.upstreams.append(upstream)
             self.store.put(f"servers/{upstream.name}", upstream.describe())
 
-    async def add_node(self, seeds: tuple[str, ...] = (), ready: bool = True) -> Node:
-        """Start a node; wait until it accepts connections and, if asked, is ready."""
-        node = Node(self, seeds)
+    async def add_node(
+        self, seeds: tuple[str, ...] = (), ready: bool = True, linked: bool = False
+    ) -> Node:
+        """Start a node; wait until it accepts connections and, if asked, is ready.
+
+        Parameters
+        ----------
+        linked : bool
+            Whether it reaches the upstreams over links of its own, which can be cut.
+        """
+        links, store = [], ""
+        if linked:
+            view = {}
+            for upstream in self.upstreams:
+                link = Link(upstream.address)
+                await self.nursery.start(link.run)
+                view[upstream.address] = link.address
+                links.append(link)
+            (port,) = find_ports(1)
+            await self.nursery.start(self.store.run_view, port, view)
+            store = f"127.0.0.1:{port}"
+        node = Node(self, seeds, store)
+        node.links = links
         self.nursery.start_soon(node.daemon.run)
         with trio.fail_after(5.0):
             while ready and not node.daemon.is_ready:
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -30,6 +30,8 @@
         self.refuse = False
         self.calls: list[str] = []
         self.address = ""
+        # Address of each upstream as a node sees it, by the store's address it uses.
+        self.views: dict[str, dict[str, str]] = {}
         self._leases: dict[int, float] = {}
         self._lease_ids = itertools.count(1)
         self._changed = trio.Event()
@@ -59,8 +61,19 @@
     async def run(self, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         self.address = f"127.0.0.1:{port}"
+        await self._serve(self.address, task_status)
+
+    async def run_view(
+        self, port: int, view: dict[str, str], task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve one node, for which upstreams have the addresses that `view` gives."""
+        address = f"127.0.0.1:{port}"
+        self.views[address] = view
+        await self._serve(address, task_status)
+
+    async def _serve(self, address: str, task_status) -> None:
         config = Config()
-        config.bind = [self.address]
+        config.bind = [address]
         config.accesslog = None
         config.errorlog = None
         task_status.started()
@@ -86,8 +99,21 @@
             if item[3] == lease:
                 self.remove(key)
 
+    def _translate(self, key: str, data: bytes) -> bytes:
+        """Return a value as the node that asks sees it."""
+        view = self.views.get(request.host)
+        if view is None or not key.startswith("servers/"):
+            return data
+        try:
+            entry = orjson.loads(data)
+            entry["address"] = view[entry["address"]]
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            return data
+        return orjson.dumps(entry)
+
     def _describe(self, key: str) -> dict[str, object]:
         data, revision, created, lease = self.items[key]
+        data = self._translate(key, data)
         return {
             "key": key,
             "value": base64.b64encode(data).decode(),
@@ -150,7 +176,7 @@
                     tombstone = {"key": key, "revision": revision, "tombstone": True}
                     events.append(tombstone)
                     continue
-                value = base64.b64encode(data).decode()
+                value = base64.b64encode(self._translate(key, data)).decode()
                 events.append({"key": key, "value": value, "revision": revision})
             return reply(200, {"events": events, "store-revision": self.revision})
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,5 +1,6 @@
 """A link on loopback that delays, silences and resets what passes."""
 
+import contextlib
 import enum
 import socket
 import struct
@@ -21,6 +22,17 @@
     REFUSE = enum.auto()
 
 
+class Cut(enum.Enum):
+    """What a cut does to connections.
+
+    New ones are refused, or hang; those that are open are reset, hang or live on.
+    """
+
+    RESET = enum.auto()
+    HANG = enum.auto()
+    NEW_REFUSED = enum.auto()
+
+
 class Link:
     """Forwards connections to one address.
 
@@ -38,17 +50,53 @@
         self.mode = Mode.PASS
         self.delay = 0.0
         self.address = ""
+        self._cut: Cut | None = None
+        self._listening = trio.CancelScope()
+        self._restored = trio.Event()
         self.troubled: list[tuple[float, float]] = []
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Forward until cancelled."""
         listeners, self.address = await open_listeners()
         task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+        host, _, port = self.address.rpartition(":")
+        async with trio.open_nursery() as nursery:
+            while True:
+                with trio.CancelScope() as self._listening:
+                    await trio.serve_listeners(
+                        self._serve, listeners, handler_nursery=nursery
+                    )
+                await self._refuse_until_restored(host, int(port))
+                listeners = await trio.open_tcp_listeners(int(port), host=host)
+
+    def cut(self, how: Cut) -> None:
+        """Cut the link; `restore` ends that."""
+        self._cut, self._restored = how, trio.Event()
+        self._listening.cancel()
+        if how is Cut.RESET:
+            self.reset()
+        elif how is Cut.HANG:
+            self.mode = Mode.SILENT
+
+    async def _refuse_until_restored(self, host: str, port: int) -> None:
+        with contextlib.ExitStack() as stack:
+            if self._cut is Cut.HANG:
+                # Once its queue is full, further connections hang.
+                listener = stack.enter_context(socket.socket())
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                listener.bind((host, port))
+                listener.listen(0)
+                for _ in range(2):
+                    filler = stack.enter_context(socket.socket())
+                    filler.setblocking(False)
+                    filler.connect_ex((host, port))
+            await self._restored.wait()
 
     def restore(self) -> None:
         """Let bytes pass at once again."""
         self.mode, self.delay = Mode.PASS, 0.0
+        self._cut = None
+        self._restored.set()
 
     def reset(self) -> None:
         """Reset all connections."""
