Refuse a plain call at the limits for the reason that decided it

Callers at the limit got "no upstream has room" with a Retry-After of 0.2 to 0.4 s, at which there is no room, in about one of sixty refusals beside load: the wait was computed a moment after the choice, and between the two the share had grown by the last part of a request. Both use the time of the choice now.

A table of the gate's tests asked for a path five seconds after the limit had been used up, when there is room again; it asks at once now and limits only the stage that it means.

--- a/src/tarragonrudder/edges/plain_calls.py
+++ b/src/tarragonrudder/edges/plain_calls.py
@@ -43,11 +43,15 @@
 
     async def serve(self, job: Job, reply: Reply) -> Problem | None:
         """Answer a request; return the problem if it can't be answered."""
-        answer = await _Call(job, self._sender).collect_answer()
+        call = _Call(job, self._sender)
+        answer = await call.collect_answer()
         if answer is None:
-            now = trio.current_time()
             return self._sender.state.refuse_call(
-                job.request, job.service, job.avoided, job.may_have_run, now
+                job.request,
+                job.service,
+                job.avoided,
+                job.may_have_run,
+                call.decided_at,
             )
         response = answer.response
         await reply.send_whole(response.status, response.headers, answer.body)
@@ -68,6 +72,9 @@
         self._state = sender.state
         self._suspected: set[str] = set()
         self._held = False
+        # When it was last found that no upstream may be asked. Room may appear within
+        # a millisecond; the reason of a refusal must be that of the decision.
+        self.decided_at = trio.current_time()
 
     async def collect_answer(self) -> _Answer | None:
         """Return the best answer of an upstream, None if there is none.
@@ -114,7 +121,7 @@
             return None
         if job.may_have_run and not job.route.idempotent:
             return None
-        now = trio.current_time()
+        now = self.decided_at = trio.current_time()
         if self._state.refuse_blocked(job.request, job.may_have_run, now) is not None:
             return None
         return self._state.choose_upstream(job.service, job.avoided, now)
@@ -124,7 +131,7 @@
         job = self._job
         if job.may_have_run and not job.route.idempotent or not job.has_upstreams_left:
             return False
-        now = trio.current_time()
+        now = self.decided_at
         remaining = (
             job.request.arrived + PATH_WAIT_SHARE * job.route.first_byte_target - now
         )
--- a/tests/forwarding/test_upstream_limits.py
+++ b/tests/forwarding/test_upstream_limits.py
@@ -283,11 +283,11 @@
     state = make_state()
     for name, first, last in (("e1", 0, 39), ("e2", 40, 79), ("e3", 40, 79)):
         state.upstream_table.register(make_engine(name, first, last))
-    limit_all(state, 1.0)
-    state.observe_limit(state.upstream_table.find("e1"), None, 0.0)
-    state.observe_limit(state.upstream_table.find("e3"), None, 0.0)
+    state.limits.set_nodes(["node-1"])
+    state.observe_limit(state.upstream_table.find("e2"), 1.0, 0.0)
+    state.limit_gate.take(("e2",), 0.0)
     path = state.find_path(
-        make_request(), make_route(), "engines", frozenset(), frozenset(), False, 5, 5
+        make_request(), make_route(), "engines", frozenset(), frozenset(), False, 0, 0
     )
     assert path.names == ("e1", "e3")
     assert path.hops[1].layers == LayerRange(40, 79)
