Pass requests on to other nodes while no upstream is reached

Class of fault: a single way to what is there several times.

A node that is cut passes each request on to a peer as one more target of the same machinery (docs/design/relayed-requests.md), so that attempts, promises, resumed streams and leaving callers are handled as before. Cuts are found by failures at two upstreams and confirmed by new connections, so that those that live on don't hide them. What the node's own links broke is told to nobody: each reset counted as a crash of an upstream under its prompt's parts, on all nodes.

Ruled out: readiness alone, as the rule counts machines in rotation or not and a whole data centre may be cut; passing bytes on, which loses time limits and promises.

--- a/src/tarragonrudder/core/domain/forwarded_request.py
+++ b/src/tarragonrudder/core/domain/forwarded_request.py
@@ -111,10 +111,13 @@
     misdirected : bool
         True if that upstream is not the expected instance or does not hold
         the layers; False if it is full, shutting down or unreachable.
+    retry_after : float
+        Seconds after which another node that rejected it would take it; 0 if unknown.
     """
 
     faulty_address: str | None
     misdirected: bool
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tarragonrudder/core/forwarding/crash_tracker.py
+++ b/src/tarragonrudder/core/forwarding/crash_tracker.py
@@ -82,6 +82,17 @@
             record.crashes.setdefault(upstream, now)
         self._blocked = None
 
+    def remove_crash(self, traits: t.Iterable[Trait], upstream: str) -> None:
+        """Forget a crash that was none: this node lost its own links."""
+        for trait in traits:
+            record = self._records.get(trait)
+            if record is None:
+                continue
+            record.crashes.pop(upstream, None)
+            if not record.crashes:
+                del self._records[trait]
+        self._blocked = None
+
     def add_sound_run(self, traits: t.Iterable[Trait], begun_at: float) -> None:
         """Record that a request ran well that began to be answered at a time."""
         for trait in traits:
--- a/src/tarragonrudder/core/forwarding/path.py
+++ b/src/tarragonrudder/core/forwarding/path.py
@@ -328,6 +328,29 @@
         return cost * self._slowness.penalty(link)
 
 
+def make_relay_path(service: str, peer: Registration) -> Path:
+    """Return a path whose only stage is another node, which chooses the upstreams."""
+    hop = Hop(peer.name, peer.address, LayerRange(0, 0))
+    candidate = _Candidate(
+        name=peer.name,
+        address=peer.address,
+        data_center=peer.data_center,
+        layers=hop.layers,
+        fixed_cost=0.0,
+        cost_per_layer=0.0,
+        has_capacity=True,
+        step_factor=1.0,
+    )
+    return Path(
+        service=service,
+        stages=(_Stage(hop, peer.data_center, 0.0, candidate),),
+        cost=0.0,
+        has_capacity=True,
+        token_time=HOP_SECONDS,
+        links=(),
+    )
+
+
 def make_link_key(before: str, after: str) -> str:
     """Return the key under which the load of a link is counted."""
     return f"link:{before}:{after}"
--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -14,7 +14,14 @@
 from tarragonrudder.core.domain.route import Account, Route, RouteTable
 from tarragonrudder.core.forwarding.crash_tracker import CrashReport, CrashTracker
 from tarragonrudder.core.forwarding.limit_gate import LimitGate
-from tarragonrudder.core.forwarding.path import Path, PathFinder, ResourceDemand
+from tarragonrudder.core.forwarding.path import (
+    Path,
+    PathFinder,
+    ResourceDemand,
+    make_relay_path,
+)
+from tarragonrudder.core.forwarding.peer_table import PeerTable
+from tarragonrudder.core.forwarding.reachability import Finding, Reachability
 from tarragonrudder.core.forwarding.upstream_limits import LimitReport, UpstreamLimits
 from tarragonrudder.core.forwarding.upstream_table import Registration, UpstreamTable
 from tarragonrudder.core.forwarding.usage_tracker import UsageTracker
@@ -92,6 +99,9 @@
         self.upstream_table = UpstreamTable()
         self.limits = UpstreamLimits(node, source)
         self.limit_gate = LimitGate(self.upstream_table, self.limits)
+        self.reachability = Reachability(source)
+        self.peer_table = PeerTable(data_center, source)
+        self._unconfirmed_crashes: list[tuple[tuple[Trait, ...], str]] = []
         self.usage_tracker = UsageTracker()
         self.retry_budget = retry_budget
         self.crash_tracker = CrashTracker()
@@ -133,9 +143,15 @@
         return True
 
     def admit(
-        self, request: ForwardedRequest
+        self, request: ForwardedRequest, is_relayed: bool = False
     ) -> tuple[Route, Account | None, str] | Problem:
-        """Return a request's route, account and service, or the error to refuse it."""
+        """Return a request's route, account and service, or the error to refuse it.
+
+        Parameters
+        ----------
+        is_relayed : bool
+            Whether another node has admitted it already, and counted it.
+        """
         table = self.route_table
         if table is None:
             return NoChain("no configuration is known yet", retry_after=1.0)
@@ -152,13 +168,32 @@
         if service not in table.services:
             message = "the route's service is not configured"
             return NoChain(message, retry_after=self._add_jitter(NO_PATH_RETRY_AFTER))
-        self.retry_budget.deposit(service, request.arrived)
+        if not is_relayed:
+            self.retry_budget.deposit(service, request.arrived)
         return route, account, service
 
+    def find_target(self, name: str) -> Registration | None:
+        """Return the upstream or other node of a name."""
+        return self.upstream_table.find(name) or self.peer_table.find(name)
+
     def choose_upstream(
-        self, service: str, avoided: t.Container[str], now: float
+        self,
+        service: str,
+        avoided: t.Container[str],
+        now: float,
+        is_relayed: bool = False,
     ) -> Registration | None:
-        """Return the least loaded upstream of a plain service."""
+        """Return the least loaded upstream of a plain service.
+
+        A node that is cut off from the upstreams returns another node, unless the
+        request came from one.
+        """
+        if self.reachability.prefers_peers(now) and not is_relayed:
+            peer = self.peer_table.choose(avoided, now)
+            if peer is not None:
+                return peer
+        if self.reachability.is_cut:
+            return None
         usable = self.upstream_table.list_usable(service, now, avoided)
         candidates = self.limit_gate.list_free(usable, now)
         if not candidates:
@@ -187,6 +222,7 @@
         may_have_run: bool,
         waiting_since: float,
         now: float,
+        is_relayed: bool = False,
     ) -> Path | Problem | Wait:
         """Return the path of a stream's next attempt, or why there is none.
 
@@ -200,6 +236,8 @@
             Whether an upstream may have started to run it.
         waiting_since : float
             Time at which it began to wait for a path.
+        is_relayed : bool
+            Whether it came from another node, and must not be passed on once more.
         """
         blocked = self.refuse_blocked(request, may_have_run, now)
         if blocked is not None:
@@ -212,6 +250,18 @@
             if may_have_run:
                 return UpstreamFailed(message, RunState.UNKNOWN)
             return Overloaded(message, retry_after=self._add_jitter(FULL_RETRY_AFTER))
+        if avoided and self.reachability.is_unsure(now):
+            return Wait(now + PATH_POLL_PERIOD)
+        may_relay = not is_relayed and len(first_upstreams) < route.max_upstreams
+        if may_relay and self.reachability.prefers_peers(now):
+            peer = self.peer_table.choose(avoided, now)
+            if peer is not None:
+                return make_relay_path(service, peer)
+        if self.reachability.is_cut:
+            message = "this node reaches neither upstreams nor a node that has room"
+            if may_have_run:
+                return UpstreamFailed(message, RunState.UNKNOWN)
+            return NoChain(message, retry_after=self._add_jitter(FULL_RETRY_AFTER))
         path = self._search(request, service, avoided, first_upstreams, route, now)
         if path is not None and (path.has_capacity or may_have_run):
             self.limit_gate.leave(request.request_id)
@@ -357,13 +407,58 @@
         events : int
             Events of the answer that had come; 0 for a plain call.
         """
+        if upstream.is_peer:
+            return  # it tells of a failure of its upstream in the same way
         self.upstream_table.suspect(upstream.name, now)
-        if events >= SOUND_EVENTS:
+        self.reachability.note_failure(upstream.name, now)
+        if events >= SOUND_EVENTS or self.reachability.is_cut:
             return
         self.crash_tracker.add_crash(request.traits, upstream.incarnation, now)
+        if self.reachability.is_unsure(now):
+            self._unconfirmed_crashes.append((request.traits, upstream.incarnation))
+            return
         self._report_blocks()
         self.on_news()
 
+    def list_crash_reports(self, now: float) -> dict[Trait, CrashReport]:
+        """Return the crashes to tell peers of; none while this node may be cut."""
+        if self._unconfirmed_crashes:
+            return {}
+        return self.crash_tracker.snapshot(now)
+
+    def note_unreachable(self, upstream: Registration, now: float) -> None:
+        """Record that no connection to an upstream or another node could be made."""
+        if upstream.is_peer:
+            self.peer_table.avoid(upstream.name, now)
+            return
+        self.upstream_table.suspect(upstream.name, now)
+        self.reachability.note_failure(upstream.name, now)
+
+    def note_silence(self, names: t.Iterable[str], now: float) -> None:
+        """Avoid upstreams that did not answer in time."""
+        for name in names:
+            if self.upstream_table.find(name) is None:
+                self.peer_table.avoid(name, now)
+                continue
+            self.upstream_table.suspect(name, now)
+            self.reachability.note_failure(name, now)
+
+    def record_reach_check(self, reached: int, tried: int, now: float) -> Finding:
+        """Record a check of the node's links; return what it changed."""
+        finding = self.reachability.record_check(reached, tried, now)
+        if self.reachability.is_cut:
+            # Its own links broke these connections, and made these upstreams silent.
+            self._culprits.clear()
+            for traits, incarnation in self._unconfirmed_crashes:
+                self.crash_tracker.remove_crash(traits, incarnation)
+        elif self._unconfirmed_crashes:
+            self._report_blocks()
+            self.on_news()
+        self._unconfirmed_crashes.clear()
+        if finding is Finding.RESTORED:
+            self.upstream_table.clear_suspicions()
+        return finding
+
     def merge_crash_reports(
         self, reports: t.Mapping[Trait, CrashReport], now: float
     ) -> None:
@@ -449,12 +544,17 @@
         """Avoid the stages of a silent path until the culprit is known."""
         for name in names:
             self.upstream_table.suspect(name, now, SILENT_PERIOD)
+        # Of a path that is silent as a whole, the first stage is what is not reached.
+        for name in list(names)[:1]:
+            self.reachability.note_failure(name, now)
 
     def mark_culprit(self, culprit: str, names: t.Iterable[str], now: float) -> None:
         """Avoid a stage found at fault, and clear the suspicion of the others."""
         for name in names:
             if name != culprit:
                 self.upstream_table.clear_suspicion(name)
+        if self.reachability.is_cut:
+            return
         self.upstream_table.suspect(culprit, now, CULPRIT_PERIOD)
         is_new = culprit not in self.list_culprits(now)
         self._culprits[culprit] = now + CULPRIT_PERIOD
--- a/src/tarragonrudder/core/forwarding/upstream_table.py
+++ b/src/tarragonrudder/core/forwarding/upstream_table.py
@@ -20,6 +20,8 @@
         Its id; most restarts get a new one.
     born : int
         Time of its start, which distinguishes two starts under one id.
+    is_peer : bool
+        Whether it is another node that runs requests for this one.
     ready : bool
         False once it is draining.
     kind : str
@@ -37,6 +39,7 @@
     kind: str = ""
     layers: LayerRange | None = None
     born: int = 0
+    is_peer: bool = False
 
     @property
     def incarnation(self) -> str:
@@ -165,6 +168,12 @@
             health.suspected_until = 0.0
             health.failures = max(0, health.failures - 1)
 
+    def clear_suspicions(self) -> None:
+        """End all suspicions, after this node itself was at fault."""
+        for health in self._health.values():
+            health.suspected_until = 0.0
+            health.failures = 0
+
     def note_progress(self, names: t.Iterable[str], now: float) -> None:
         """Record that work has just passed through these upstreams."""
         for name in names:
--- a/src/tarragonrudder/edges/job.py
+++ b/src/tarragonrudder/edges/job.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from tarragonrudder.core.domain.forwarded_request import ForwardedRequest
+from tarragonrudder.core.domain.forwarded_request import ForwardedRequest, Rejected
 from tarragonrudder.core.domain.route import Account, Route
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.upstream_table import Registration
@@ -43,6 +43,10 @@
         Whether only new connections may be used from now on.
     running : dict of str to float
         Plain upstreams whose answers are awaited, with the time of each attempt.
+    relayed_by : str
+        Name of the node that passed the request on; empty for a caller's own.
+    peer_retry_after : float
+        Longest time in seconds after which a node that refused it would take it.
     """
 
     request: ForwardedRequest
@@ -56,6 +60,8 @@
     possible_runs: int = 0
     fresh: bool = False
     running: dict[str, float] = field(default_factory=dict)
+    relayed_by: str = ""
+    peer_retry_after: float = 0.0
 
     @property
     def account_name(self) -> str:
@@ -128,6 +134,16 @@
     async def open(self, job: Job, dispatch: Dispatch) -> Attempt | None:
         """Connect for a counted send; return None if the connection failed."""
         name = dispatch.upstream.name
+        if dispatch.upstream.is_peer:
+            self.state.peer_table.note_sent(name)
+            self.log(
+                "relayed",
+                job.request.request_id,
+                peer=name,
+                address=dispatch.upstream.address,
+                reason="this node is cut off from the upstreams",
+                sends=job.sends,
+            )
         try:
             return await self.upstreams.open(dispatch)
         except ConnectFailed as error:
@@ -135,7 +151,7 @@
             self.log(
                 "unreachable", job.request.request_id, upstream=name, reason=str(error)
             )
-            self.state.upstream_table.suspect(name, trio.current_time())
+            self.state.note_unreachable(dispatch.upstream, trio.current_time())
             job.avoided.add(name)
             return None
         except trio.Cancelled:
@@ -165,6 +181,21 @@
         )
         job.avoided.add(upstream.name)
 
+    def handle_peer_rejection(
+        self, job: Job, peer: Registration, response: Rejected
+    ) -> None:
+        """Record that another node did not run a request; it costs no retry."""
+        self.take_back(job, (peer.name,))
+        job.possible_runs -= 1
+        job.avoided.add(peer.name)
+        job.peer_retry_after = max(job.peer_retry_after, response.retry_after)
+        self.log(
+            "relay_refused",
+            job.request.request_id,
+            peer=peer.name,
+            retry_after=response.retry_after,
+        )
+
     def log_held(self, job: Job) -> None:
         """Log that a request waits for upstreams at their limits."""
         self.log(
--- a/src/tarragonrudder/edges/plain_calls.py
+++ b/src/tarragonrudder/edges/plain_calls.py
@@ -124,7 +124,9 @@
         now = self.decided_at = trio.current_time()
         if self._state.refuse_blocked(job.request, job.may_have_run, now) is not None:
             return None
-        return self._state.choose_upstream(job.service, job.avoided, now)
+        return self._state.choose_upstream(
+            job.service, job.avoided, now, bool(job.relayed_by)
+        )
 
     async def _wait_for_turn(self) -> bool:
         """Wait a little for an upstream at its limit; return whether that may help."""
@@ -170,6 +172,7 @@
             job.account_name,
             job.deadline - trio.current_time(),
             fresh=not job.route.idempotent,
+            sent_to=tuple(name for name in job.sent_to if name != upstream.name),
         )
         attempt = await self._sender.open(job, dispatch)
         if attempt is None:
@@ -183,6 +186,9 @@
         finally:
             attempt.abort()
         now = trio.current_time()
+        if isinstance(answer, Rejected) and upstream.is_peer:
+            self._sender.handle_peer_rejection(job, upstream, answer)
+            return None
         if isinstance(answer, Rejected):
             job.possible_runs -= 1
             self._sender.log("rejected", job.request.request_id, upstream=upstream.name)
@@ -229,7 +235,7 @@
             if name in self._suspected:
                 continue
             self._suspected.add(name)
-            self._state.upstream_table.suspect(name, now)
+            self._state.note_silence((name,), now)
             self._sender.log(
                 "slow",
                 self._job.request.request_id,
--- a/src/tarragonrudder/edges/relay.py
+++ b/src/tarragonrudder/edges/relay.py
@@ -5,6 +5,7 @@
 """
 
 import typing as t
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -35,6 +36,22 @@
     """An answer that was partly sent can't be completed."""
 
 
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """What a node tells of a request that it passes on to another one.
+
+    Attributes
+    ----------
+    node : str
+        Name of the node that has the caller's connection.
+    sent_to : tuple of str
+        Upstreams that it sent the request to before.
+    """
+
+    node: str
+    sent_to: tuple[str, ...]
+
+
 class Relay:
     """Forwards callers' requests; `serve` is called once per request."""
 
@@ -56,9 +73,23 @@
         """Wake the streams whose path includes an upstream."""
         self._stall_prober.notify_streams(upstream)
 
-    async def serve(self, request: ForwardedRequest, reply: Reply) -> Problem | None:
+    def notify_all_streams(self) -> None:
+        """Wake all streams, after a cut of this node was found or has ended."""
+        self._stall_prober.notify_all()
+
+    async def serve(
+        self,
+        request: ForwardedRequest,
+        reply: Reply,
+        handover: Handover | None = None,
+    ) -> Problem | None:
         """Answer a request; return the problem if it can't be answered.
 
+        Parameters
+        ----------
+        handover : Handover or None
+            What another node tells of a request that it passes on.
+
         Raises
         ------
         ResponseAborted
@@ -66,7 +97,7 @@
         CallerDisconnected
             If the caller closed its connection.
         """
-        admitted = self._state.admit(request)
+        admitted = self._state.admit(request, handover is not None)
         if isinstance(admitted, Problem):
             return self.refuse(request, admitted)
         route, account, service = admitted
@@ -74,6 +105,15 @@
         if request.timeout is not None:
             limit = min(limit, request.timeout)
         job = Job(request, route, account, service, request.arrived + limit)
+        if handover is not None:
+            job.relayed_by = handover.node
+            job.sent_to.extend(handover.sent_to)
+            self._log(
+                "run_for_peer",
+                request.request_id,
+                peer=handover.node,
+                sent_to=list(handover.sent_to),
+            )
         problem: Problem | None = None
         with trio.move_on_at(job.deadline) as scope:
             if route.streaming:
@@ -98,6 +138,9 @@
             raise ResponseAborted(problem.message)
         if problem.run_state is RunState.NOT_RUN and job.may_have_run:
             problem = UpstreamFailed(problem.message, RunState.UNKNOWN)
+        if problem.retry_after is not None:
+            after = max(problem.retry_after, job.peer_retry_after)
+            problem = replace(problem, retry_after=after)
         return self.refuse(request, problem, job.first_upstreams)
 
     def _handle_timeout(self, job: Job) -> Problem:
@@ -119,7 +162,7 @@
                 waited=round(waited, 3),
             )
             if waited >= MIN_HANGING_TIME:
-                self._state.upstream_table.suspect(name, now)
+                self._state.note_silence((name,), now)
 
     def refuse(
         self,
--- a/src/tarragonrudder/edges/relay_interfaces.py
+++ b/src/tarragonrudder/edges/relay_interfaces.py
@@ -27,6 +27,8 @@
         Number of the last event received, after which the stream resumes.
     fresh : bool
         Whether the request must be sent on a new connection.
+    sent_to : tuple of str
+        Upstreams that it was sent to before, of which another node must know.
     """
 
     request: ForwardedRequest
@@ -36,6 +38,7 @@
     time_left: float
     last_event: int | None = None
     fresh: bool = False
+    sent_to: tuple[str, ...] = ()
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -107,6 +110,9 @@
     ) -> DetourOutcome:
         """Move a running request to other stages behind the first."""
 
+    async def is_reachable(self, upstream: Registration) -> bool:
+        """Tell whether a new connection to an upstream can be made."""
+
     async def fetch_report(self, upstream: Registration) -> StallReport | None:
         """Return an engine's report, None if there is no valid answer."""
 
--- a/src/tarragonrudder/edges/stall_prober.py
+++ b/src/tarragonrudder/edges/stall_prober.py
@@ -53,6 +53,11 @@
             if upstream in listener.stages:
                 listener.wake()
 
+    def notify_all(self) -> None:
+        """Wake all streams."""
+        for listener in list(self._listeners):
+            listener.wake()
+
     def start(self, nursery: trio.Nursery) -> None:
         """Run probes in a nursery that outlives the requests."""
         self._nursery = nursery
@@ -81,6 +86,7 @@
                 # Reports may be late under load: events that passed since are proof
                 # that the engine is alive.
                 if state.upstream_table.find_silent((first,), probed_at):
+                    state.reachability.note_failure(first, trio.current_time())
                     self._mark_culprit(first, names, "no report")
                 return
             for address in report.stalled:
--- a/src/tarragonrudder/edges/stream_answer.py
+++ b/src/tarragonrudder/edges/stream_answer.py
@@ -11,6 +11,7 @@
 from tarragonrudder.edges.relay_interfaces import Reply
 from tarragonrudder.edges.stream_attempt import StreamAttempt
 
+PEER_PATIENCE = 2.0  # stall timeouts of an attempt that another node runs
 EVENTS_PER_OBSERVATION = 4  # events averaged to one observed gap
 
 
@@ -41,7 +42,9 @@
 
     def compute_stall_timeout(self, attempt: StreamAttempt) -> float:
         """Return the seconds of silence after which an attempt is stalled."""
-        return self._event_gaps.compute_stall_timeout(attempt.events > 0)
+        timeout = self._event_gaps.compute_stall_timeout(attempt.events > 0)
+        # Another node recovers its own attempts first.
+        return PEER_PATIENCE * timeout if attempt.upstream.is_peer else timeout
 
     def accept_events(
         self, attempt: StreamAttempt, data: bytes
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -177,6 +177,7 @@
                 job.may_have_run,
                 since,
                 trio.current_time(),
+                bool(job.relayed_by),
             )
             if not isinstance(found, Wait):
                 return found
@@ -189,7 +190,7 @@
         """Send the request over a path; return whether the attempt is open."""
         job = self._job
         first = path.hops[0].upstream
-        upstream = self._state.upstream_table.find(first)
+        upstream = self._state.find_target(first)
         if upstream is None:
             self._sender.take_back(job, path.names)
             return False
@@ -201,6 +202,7 @@
             job.deadline - trio.current_time(),
             last_event=self._answer.last_event,
             fresh=job.fresh,
+            sent_to=tuple(job.sent_to[:-1]),
         )
         path_load = PathLoad(self._state.usage_tracker, self._tokens)
         path_load.switch_to(path)
@@ -397,6 +399,10 @@
         return await self._answer.forward_failure()
 
     def _handle_rejection(self, attempt: StreamAttempt, response: Rejected) -> None:
+        if attempt.upstream.is_peer:
+            self._sender.handle_peer_rejection(self._job, attempt.upstream, response)
+            self._close(attempt)
+            return
         now = trio.current_time()
         culprit = self._state.note_path_rejection(attempt.path, response, now)
         self._job.avoided.add(culprit)
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -15,9 +15,11 @@
 
 from tarragonrudder.core.domain.forwarded_request import Trait
 from tarragonrudder.core.domain.route import CallerLimits
+from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
 from tarragonrudder.edges.decision_log import DecisionLog
+from tarragonrudder.edges.reach_checker import ReachChecker
 from tarragonrudder.edges.relay import Relay
 from tarragonrudder.edges.telemetry import Telemetry
 from tarragonrudder.errors import SettingsError
@@ -84,7 +86,9 @@
         self._store = MetadataStore(
             settings.platform.address, self._telemetry.observe_store_call
         )
-        self._upstreams = PlatformUpstreamClient(self.state.observe_limit, log)
+        self._upstreams = PlatformUpstreamClient(
+            settings.node, self.state.observe_limit, log
+        )
         self._relay = Relay(self.state, self._upstreams, log)
         self._ingress = Ingress(self._relay, self._get_limits, log)
         self.registry = Registry(
@@ -105,6 +109,10 @@
             log,
             source,
             self._relay.notify_streams,
+            self._describe,
+        )
+        self._reach_checker = ReachChecker(
+            self.state, self._upstreams, log, source, self._handle_reach_change
         )
         self.registry.on_adopted = self.peers.announce
         self.state.on_news = self.peers.announce
@@ -129,6 +137,9 @@
         """Whether the load balancer may send new connections to this node."""
         if self._ingress.is_stopping or self.state.route_table is None:
             return False
+        if self.state.reachability.is_cut:
+            now = trio.current_time()
+            return self.state.peer_table.count_available(now) > 0
         return bool(self.registry.entries)
 
     async def run(self) -> None:
@@ -137,11 +148,14 @@
         self._telemetry.log_event("started", zone=settings.zone, ip=settings.ip)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._ingress.run, settings.listen.front)
+            if settings.relay_address:
+                await nursery.start(self._ingress.run, settings.relay_address, True)
             nursery.start_soon(self._serve_control)
             self._relay.start(nursery)
             self.registry.start(nursery)
             self.peers.start(nursery)
             self._planner.start(nursery)
+            self._reach_checker.start(nursery)
             nursery.start_soon(self._maintain_registration)
             nursery.start_soon(self._run_maintenance)
             await self._watch_signals()
@@ -152,6 +166,20 @@
         self._telemetry.log_event("stopped")
         self._telemetry.flush()
 
+    def _describe(self) -> PeerReport:
+        """Return what other nodes need to know to pass requests on to this one."""
+        is_cut = self.state.reachability.is_cut
+        return PeerReport(
+            self._settings.relay_address,
+            self._settings.zone,
+            self._ingress.active,
+            self.is_ready and not is_cut,
+        )
+
+    def _handle_reach_change(self) -> None:
+        self.peers.announce()
+        self._relay.notify_all_streams()
+
     def _get_limits(self) -> CallerLimits:
         table = self.state.route_table
         return table.limits if table is not None else CallerLimits()
@@ -220,6 +248,8 @@
         telemetry.set("upstreams", ready, "ready")
         telemetry.set("upstreams", draining, "leaving")
         telemetry.set("upstreams", suspected, "suspected")
+        telemetry.set("cut_off", self.state.reachability.is_cut)
+        telemetry.set("requests_for_peers", self._ingress.active_for_peers)
         telemetry.set("upstreams_limited", len(self.state.limits))
         telemetry.set("requests_running", self._ingress.active)
         telemetry.set("configuration_version", self.state.version)
@@ -236,6 +266,7 @@
             self.state.upstream_table.expire(now)
             self.state.crash_tracker.expire(now)
             self.state.expire_limits(now)
+            self.state.peer_table.expire(now)
             self._update_nodes()
             self.state.usage_tracker.set_node_count(self.registry.node_count)
             self.state.retry_budget.set_node_count(
--- a/src/tarragonrudder/platform/ingress.py
+++ b/src/tarragonrudder/platform/ingress.py
@@ -1,5 +1,6 @@
 """HTTP front end: accepts callers' connections and responds to their requests."""
 
+import functools
 import hashlib
 import typing as t
 
@@ -17,9 +18,10 @@
     UnreadableRequest,
     configure_socket,
 )
-from tarragonrudder.edges.relay import Relay, ResponseAborted
-from tarragonrudder.errors import Problem, RunState
+from tarragonrudder.edges.relay import Handover, Relay, ResponseAborted
+from tarragonrudder.errors import Overloaded, Problem, RunState
 from tarragonrudder.platform import protocol
+from tarragonrudder.platform.handover import HandoverError, decode_handover
 from tarragonrudder.platform.upstream_client import filter_headers
 
 # Request headers that the router sets itself, or does not forward to the upstream.
@@ -34,8 +36,13 @@
         protocol.PATH,
         protocol.PRIORITY,
         protocol.LAST_EVENT_ID,
+        protocol.HANDOVER,
     )
 )
+NOT_RUN_HEADER = (b"Not-Executed", b"1")  # only on responses to other nodes
+# Requests of other nodes that are run at a time; more are refused at once, so that
+# they are passed on to another node.
+MAX_ACTIVE_FOR_PEERS = 256
 CLOSE_HEADER = (b"Connection", b"close")
 BACKLOG = 512  # connections queued for accept during a burst
 # Seconds after the start of a planned stop during which requests are still accepted
@@ -94,6 +101,14 @@
     )
 
 
+def find_handover(received: ReceivedRequest) -> Handover:
+    """Return what another node tells of its request; raises HandoverError."""
+    for name, value in received.headers:
+        if name.lower() == protocol.HANDOVER:
+            return decode_handover(value)
+    raise HandoverError("a node's request has no handover")
+
+
 def find_request_id(received: ReceivedRequest) -> str:
     """Return the id of a caller's request, empty without one."""
     for name, value in received.headers:
@@ -123,8 +138,12 @@
     """The response to one request on a caller's connection."""
 
     def __init__(
-        self, connection: ServerConnection, is_closing: t.Callable[[], bool]
+        self,
+        connection: ServerConnection,
+        is_closing: t.Callable[[], bool],
+        for_peer: bool = False,
     ) -> None:
+        self._for_peer = for_peer
         self._connection = connection
         self._is_closing = is_closing
         self._arrived = trio.current_time()
@@ -183,6 +202,8 @@
         headers: Headers = [(b"Content-Type", b"application/json")]
         if request_id:
             headers.append((b"Attempt-Id", request_id.encode("latin-1")))
+        if self._for_peer and problem.run_state is RunState.NOT_RUN:
+            headers.append(NOT_RUN_HEADER)
         if problem.retry_after is not None:
             headers.append((b"Retry-After", f"{problem.retry_after:g}".encode()))
         error = {
@@ -207,6 +228,8 @@
     ----------
     active : int
         Number of requests in progress.
+    active_for_peers : int
+        Those of them that other nodes passed on.
     """
 
     def __init__(
@@ -221,17 +244,26 @@
         self._drain = Drain(BALANCER_LAG)
         self._idle: dict[trio.CancelScope, tuple[ServerConnection, float]] = {}
         self.active = 0
+        self.active_for_peers = 0
 
     async def run(
         self,
         address: str,
+        for_peers: bool = False,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled.
+
+        Parameters
+        ----------
+        for_peers : bool
+            Whether other nodes connect to this address, and not callers.
+        """
         host, _, port = address.rpartition(":")
         listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
         task_status.started()
-        await trio.serve_listeners(self._serve_connection, listeners)
+        serve = functools.partial(self._serve_connection, for_peer=for_peers)
+        await trio.serve_listeners(serve, listeners)
 
     def stop(self) -> None:
         """Begin a planned stop: connections close after their next response."""
@@ -249,7 +281,9 @@
         """Whether a planned stop has begun."""
         return self._drain.begun
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def _serve_connection(
+        self, stream: trio.SocketStream, for_peer: bool
+    ) -> None:
         try:
             configure_socket(stream.socket)
         except OSError:
@@ -257,7 +291,7 @@
             return
         connection = ServerConnection(stream, self._get_limits)
         try:
-            while await self._serve_request(connection):
+            while await self._serve_request(connection, for_peer):
                 pass
         except ResponseNotTaken as error:
             self._log(
@@ -270,7 +304,9 @@
         finally:
             await connection.close()
 
-    async def _serve_request(self, connection: ServerConnection) -> bool:
+    async def _serve_request(
+        self, connection: ServerConnection, for_peer: bool
+    ) -> bool:
         received: ReceivedRequest | UnreadableRequest | None = None
         with trio.CancelScope() as scope:
             self._idle[scope] = (connection, trio.current_time())
@@ -280,7 +316,7 @@
                 del self._idle[scope]
         if received is None:
             return False
-        reply = CallerReply(connection, lambda: self.is_stopping)
+        reply = CallerReply(connection, lambda: self.is_stopping, for_peer)
         if isinstance(received, UnreadableRequest):
             self._log(
                 "unacceptable", None, status=received.status, reason=received.detail
@@ -290,14 +326,16 @@
             return False
         reply.request_id = find_request_id(received) or None
         self.active += 1
+        self.active_for_peers += for_peer
         try:
-            await self._handle_request(connection, reply, received)
+            await self._handle_request(connection, reply, received, for_peer)
         except (ResponseAborted, CallerDisconnected):
             raise
         except Exception as error:  # a faulty request must not stop the node
             await self._report_fault(reply, error)
         finally:
             self.active -= 1
+            self.active_for_peers -= for_peer
         return connection.start_next()
 
     async def _handle_request(
@@ -305,7 +343,17 @@
         connection: ServerConnection,
         reply: CallerReply,
         received: ReceivedRequest,
+        for_peer: bool,
     ) -> None:
+        handover = None
+        if for_peer:
+            try:
+                handover = find_handover(received)
+            except HandoverError as error:
+                self._log("unacceptable", None, status=400, reason=str(error))
+                body = orjson.dumps({"error": {"message": str(error)}})
+                await reply.send_whole(400, [NOT_RUN_HEADER], body)
+                return
         request = decode_request(received, trio.current_time())
         if request is None:
             body = orjson.dumps({"error": {"message": "the request has no id"}})
@@ -315,6 +363,12 @@
             stopping = self._relay.refuse(request, self._drain.refuse())
             await reply.send_problem(request.request_id, stopping)
             return
+        if self.active_for_peers > MAX_ACTIVE_FOR_PEERS and for_peer:
+            full = Overloaded("this node runs too much for others", retry_after=1.0)
+            await reply.send_problem(
+                request.request_id, self._relay.refuse(request, full)
+            )
+            return
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -322,7 +376,7 @@
             )
             # Raised within the nursery, it would be wrapped in an exception group.
             try:
-                problem = await self._relay.serve(request, reply)
+                problem = await self._relay.serve(request, reply, handover)
                 if problem is not None:
                     await reply.send_problem(request.request_id, problem)
             except Exception as error:
--- a/src/tarragonrudder/platform/node_settings.py
+++ b/src/tarragonrudder/platform/node_settings.py
@@ -47,11 +47,17 @@
     zone: str
     seeds: tuple[str, ...] = ()
     listen: ListenSettings
+    internal_ports: tuple[int, ...] = Field((), alias="internal-ports")
     bounds: BoundsSettings = Field(
         default_factory=lambda: BoundsSettings.model_validate({})
     )
     platform: StoreSettings
 
+    @property
+    def relay_address(self) -> str:
+        """``HOST:PORT`` for requests of other nodes; empty without a free port."""
+        return f"{self.ip}:{self.internal_ports[0]}" if self.internal_ports else ""
+
 
 def read_platform_settings(path: pathlib.Path) -> PlatformNodeSettings:
     """Read and validate the settings file.
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -15,6 +15,7 @@
     MAX_SHARED_RECORDS,
     CrashReport,
 )
+from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.upstream_limits import MAX_REPORTS, LimitReport
 from tarragonrudder.core.forwarding.usage_tracker import Usage
@@ -50,6 +51,8 @@
         Addresses of peers to contact before any are discovered.
     on_culprit : callable
         Called with the name of each culprit that this node learns of from a peer.
+    describe : callable
+        Returns what this node tells of itself.
     """
 
     def __init__(
@@ -62,7 +65,9 @@
         log: t.Callable[..., None],
         source: random.Random,
         on_culprit: t.Callable[[str], None],
+        describe: t.Callable[[], PeerReport],
     ) -> None:
+        self._describe = describe
         self._on_culprit = on_culprit
         self._name = name
         self._address = address
@@ -206,6 +211,7 @@
         for name, each in self._state.usage_tracker.snapshot_local().items():
             usage[name] = (each.requests, each.tokens)
         now = trio.current_time()
+        own = self._describe()
         return orjson.dumps(
             {
                 "node": self._name,
@@ -215,9 +221,15 @@
                 "usage": usage,
                 "crashes": {},  # required by nodes that don't know crash_reports
                 "crash_reports": _encode_crash_reports(
-                    self._state.crash_tracker.snapshot(now)
+                    self._state.list_crash_reports(now)
                 ),
                 "culprits": self._state.list_culprits(now),
+                "relay": {
+                    "address": own.address,
+                    "data_center": own.data_center,
+                    "active": own.active,
+                    "available": own.is_available,
+                },
                 "limits": _encode_limits(self._state.limits.snapshot(now)),
             }
         )
@@ -231,6 +243,7 @@
             for name, (requests, tokens) in message["usage"].items():
                 usage[str(name)] = Usage(int(requests), int(tokens))
             crash_reports = _decode_crash_reports(message.get("crash_reports", []))
+            report = _decode_report(message.get("relay"))
             limits = _decode_limits(message.get("limits", []))
             culprits = {str(k): float(v) for k, v in message["culprits"].items()}
             address = str(message["address"])
@@ -242,6 +255,8 @@
             self._known_addresses.add(address)
         self._state.usage_tracker.set_peer(node, usage, now)
         self._state.merge_crash_reports(crash_reports, now)
+        if report is not None:
+            self._state.peer_table.update(node, report, now)
         self._state.merge_limits(node, limits, now)
         for name, remaining in culprits.items():
             if self._state.merge_culprit(name, remaining, now):
@@ -267,6 +282,18 @@
     return reports
 
 
+def _decode_report(fields: t.Any) -> PeerReport | None:
+    """Decode a peer's report on itself; None from an older version."""
+    if fields is None:
+        return None
+    return PeerReport(
+        str(fields["address"]),
+        str(fields["data_center"]),
+        int(fields["active"]),
+        bool(fields["available"]),
+    )
+
+
 def _encode_limits(reports: t.Mapping[str, LimitReport]) -> list[t.Any]:
     rows = []
     for upstream, report in reports.items():
--- a/src/tarragonrudder/platform/protocol.py
+++ b/src/tarragonrudder/platform/protocol.py
@@ -22,6 +22,10 @@
 PROMPT_PREFIX = b"prompt-prefix"
 PRIORITY = b"request-priority"
 
+# Set by one node on a request that it passes on to another one: what it tells of it.
+HANDOVER = b"router-handover"
+RETRY_AFTER = b"retry-after"
+
 READY_PATH = "/tarragonrudder/readyz"
 REPORT_PATH = "/tarragonrudder/report"
 ORDER_PATH = "/tarragonrudder/order"
--- a/src/tarragonrudder/platform/upstream_client.py
+++ b/src/tarragonrudder/platform/upstream_client.py
@@ -19,12 +19,15 @@
 from tarragonrudder.core.forwarding.upstream_table import Registration
 from tarragonrudder.edges.connection import (
     ClientConnection,
+    ConnectFailed,
     ResponseHead,
     open_connection,
 )
 from tarragonrudder.edges.job import LogFunction
+from tarragonrudder.edges.relay import Handover
 from tarragonrudder.edges.relay_interfaces import DetourOutcome, Dispatch, StallReport
 from tarragonrudder.platform import protocol
+from tarragonrudder.platform.handover import encode_handover
 from tarragonrudder.platform.http_client import (
     WholeResponse,
     fetch_whole,
@@ -125,6 +128,16 @@
     return Accepted(head.status, success, filter_headers(head.headers))
 
 
+def classify_peer_response(head: ResponseHead, request_id: bytes) -> UpstreamResponse:
+    """Classify another node's response, which may be an upstream's or its own."""
+    if head.find(protocol.SIGNATURE) is not None:
+        return classify_response(head, request_id)
+    if head.find(protocol.NOT_EXECUTED) is None:
+        return InvalidResponse(f"status {head.status} of another node")
+    after = decode_limit(head.find(protocol.RETRY_AFTER) or b"")
+    return Rejected(None, False, after or 0.0)
+
+
 class PlatformAttempt:
     """One attempt to run a request, over one connection."""
 
@@ -133,8 +146,10 @@
         pool: "ConnectionPool",
         connection: ClientConnection,
         dispatch: Dispatch,
+        node: str,
         observe_head: HeadObserver,
     ) -> None:
+        self._node = node
         self._pool = pool
         self._observe_head = observe_head
         self._connection: ClientConnection | None = connection
@@ -150,13 +165,10 @@
         headers.append((b"Attempt-Id", self._request_id))
         time_left_ms = max(1, int(self._dispatch.time_left * 1000))
         headers.append((b"Deadline-Ms", str(time_left_ms).encode()))
-        expected = self._dispatch.upstream.name.encode("latin-1")
-        headers.append((b"Expect-Instance", expected))
-        if self._dispatch.account:
-            account = self._dispatch.account.encode("latin-1")
-            headers.append((b"Tenant", account))
-        if self._dispatch.hops:
-            headers.append((b"Hop-Count", format_path(self._dispatch.hops)))
+        if self._dispatch.upstream.is_peer:
+            headers.extend(self._list_peer_headers())
+        else:
+            headers.extend(self._list_upstream_headers())
         if self._dispatch.last_event is not None:
             last = str(self._dispatch.last_event).encode()
             headers.append((b"Last-Event-Id", last))
@@ -166,10 +178,29 @@
             request.method, request.target, headers, request.body
         )
 
+    def _list_upstream_headers(self) -> list[tuple[bytes, bytes]]:
+        dispatch = self._dispatch
+        headers = [(b"Expect-Instance", dispatch.upstream.name.encode("latin-1"))]
+        if dispatch.account:
+            headers.append((b"Tenant", dispatch.account.encode("latin-1")))
+        if dispatch.hops:
+            headers.append((b"Hop-Count", format_path(dispatch.hops)))
+        return headers
+
+    def _list_peer_headers(self) -> list[tuple[bytes, bytes]]:
+        handover = encode_handover(Handover(self._node, self._dispatch.sent_to))
+        headers = [(b"Router-Handover", handover)]
+        key = self._dispatch.request.api_key
+        if key is not None:
+            headers.append((b"Authorization", f"Bearer {key}".encode("latin-1")))
+        return headers
+
     async def read_response(self) -> UpstreamResponse:
         """Read the response head and classify it."""
         head = await self._require_connection().read_head()
         self._idle_timeout = _read_idle_timeout(head)
+        if self._dispatch.upstream.is_peer:
+            return classify_peer_response(head, self._request_id)
         if head.status != MISDIRECTED:  # from whoever has the address now
             self._observe_head(self._dispatch.upstream, head.headers, True)
         return classify_response(head, self._request_id)
@@ -254,6 +285,8 @@
 
     Parameters
     ----------
+    node : str
+        Name of this node, for other nodes to which it passes requests on.
     observe_limit : callable
         Called with each upstream that answers, the limit that it names in requests a
         second, None without one, and the time.
@@ -261,9 +294,11 @@
 
     def __init__(
         self,
+        node: str,
         observe_limit: t.Callable[[Registration, float | None, float], None],
         log: LogFunction,
     ) -> None:
+        self._node = node
         self._observe_limit = observe_limit
         self._log = log
         self._pool = ConnectionPool()
@@ -283,7 +318,18 @@
         connection = None if dispatch.fresh else self._pool.acquire(address)
         if connection is None:
             connection = await open_connection(address)
-        return PlatformAttempt(self._pool, connection, dispatch, self._observe_head)
+        return PlatformAttempt(
+            self._pool, connection, dispatch, self._node, self._observe_head
+        )
+
+    async def is_reachable(self, upstream: Registration) -> bool:
+        """Tell whether a new connection to an upstream can be made."""
+        try:
+            connection = await open_connection(upstream.address)
+        except ConnectFailed:
+            return False
+        connection.close()
+        return True
 
     async def fetch_report(self, upstream: Registration) -> StallReport | None:
         """Fetch an engine's report; return None if that fails."""
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -5,6 +5,7 @@
 from tarragonrudder.core.domain.forwarded_request import Rejected
 from tarragonrudder.core.forwarding.crash_tracker import REPORT_DELAY
 from tarragonrudder.core.forwarding.path import Path
+from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import BUDGET_RETRY_AFTER, RESUME_WAIT, Wait
 from tarragonrudder.core.forwarding.usage_tracker import Usage
 from tarragonrudder.errors import (
@@ -40,6 +41,7 @@
     first_upstreams=(),
     ran=False,
     request=None,
+    relayed=False,
     **changes,
 ):
     return state.find_path(
@@ -51,6 +53,7 @@
         ran,
         0.0,
         now,
+        relayed,
     )
 
 
@@ -91,6 +94,63 @@
     assert demand.answer_tokens == 40
 
 
+def make_cut_state(*peers):
+    state = add(make_state(), make_engine("e1", 0, 79), make_plain("p1"))
+    for name in ("a", "b"):
+        state.reachability.note_failure(name, 0.0)
+    state.record_reach_check(0, 2, 0.0)
+    for peer in peers:
+        report = PeerReport("10.0.0.9:1", "a", 0, True)
+        state.peer_table.update(peer, report, 0.0)
+    return state
+
+
+@pytest.mark.parametrize(
+    ("peers", "options", "expected"),
+    [
+        (("x",), {}, ("node:x",)),
+        ((), {}, NoChain),
+        (("x",), {"avoided": ("node:x",)}, NoChain),
+        (("x",), {"relayed": True}, NoChain),
+        (("x",), {"ran": True, "first_upstreams": ("e1",)}, ("node:x",)),
+        (("x",), {"ran": True, "first_upstreams": ("e1", "e2")}, UpstreamFailed),
+    ],
+)
+def test_path_of_a_node_that_is_cut_off(peers, options, expected):
+    found = find(make_cut_state(*peers), **options)
+    if isinstance(expected, tuple):
+        assert found.names == expected
+    else:
+        assert isinstance(found, expected)
+
+
+@pytest.mark.parametrize(
+    ("peers", "relayed", "expected"),
+    [(("x",), False, "node:x"), ((), False, None), (("x",), True, None)],
+)
+def test_upstream_of_a_node_that_is_cut_off(peers, relayed, expected):
+    found = make_cut_state(*peers).choose_upstream("plain", (), 0.0, relayed)
+    assert (found.name if found else None) == expected
+
+
+def test_cut_node_tells_nobody_of_its_own_faults():
+    # Each of its upstreams seemed dead to it, and would have to all nodes.
+    state = add(make_state(), make_engine("e1", 0, 39), make_engine("e2", 40, 79))
+    news = []
+    state.on_news = lambda: news.append(1)
+    parts = make_request(prompt_parts=("a",))
+    for name in ("e1", "e2"):
+        state.note_connection_loss(parts, state.upstream_table.find(name), 0, 0.0)
+    state.mark_culprit("e1", (), 0.1)
+    del news[:]
+    assert state.list_crash_reports(0.1) == {}
+    state.record_reach_check(0, 2, 0.2)
+    state.mark_culprit("e2", (), 0.2)
+    assert news == [] and state.list_culprits(0.2) == {}
+    reports = state.list_crash_reports(0.2)
+    assert {name for each in reports.values() for name in each.crash_ages} <= {"e1@0"}
+
+
 def test_longest_prefix_wins():
     routes = [
         make_route(),
--- a/tests/site/test_framing.py
+++ b/tests/site/test_framing.py
@@ -337,7 +337,9 @@
     pause, piece = (0.02, 1) if case.startswith("trickled") else (0.0, 65536)
     upstream = UpstreamStandIn("e-1", layers=(0, 79))
     upstream.control = RawAnswer(*ENDLESS_REPORTS[case], piece=piece, pause=pause)
-    client = PlatformUpstreamClient(lambda *each: None, lambda *each, **fields: None)
+    client = PlatformUpstreamClient(
+        "node-1", lambda *each: None, lambda *each, **fields: None
+    )
     async with trio.open_nursery() as nursery:
         await nursery.start(upstream.run)
         entry = orjson.dumps(upstream.describe())
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -22,6 +22,7 @@
             "plain_calls",
             "stall_prober",
             "job",
+            "reach_checker",
         )
     ),
 ]
