Play limits of upstreams in the soak

Some or all upstreams of a service name limits that change, end or make no sense, beside all other troubles; what they got in any four seconds is judged from three seconds after a limit was first named.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -5,7 +5,7 @@
 
 from tests.site.upstream import Arrival, UpstreamStandIn
 from tests.soak.callers import DEADLINE, UNKNOWN_KEY, Call
-from tests.soak.world import NodeProcess, Stop
+from tests.soak.world import NamedLimit, NodeProcess, Stop
 
 EVENTS = UpstreamStandIn("").events
 REVOKE_BOUND = 5.0  # seconds, "revoke-ms"
@@ -19,6 +19,7 @@
 CRASH_BOUND = 6.0  # seconds after these crashes until sound requests are served
 SERVED_SHARE = 0.5  # of the share that was served before
 FEWEST_CALLS = 10  # sound calls before, by which a share is judged
+LIMIT_WINDOW = 4.0  # seconds in which the requests of a limited upstream are counted
 STABLE_WINDOW = 3.0  # seconds, "stable-window-ms"
 STOP_MARGIN = 3.0  # seconds after a planned stop in which requests are still owed
 # Statuses by which a node promises that a request has not run and never will.
@@ -74,6 +75,29 @@
     return findings
 
 
+def judge_limits(limits: t.Iterable[NamedLimit]) -> list[str]:
+    """Return which upstreams got more than the limits that they named."""
+    findings = []
+    for named in limits:
+        since = named.begun + STABLE_WINDOW
+        times = [
+            arrival.begun
+            for arrival in named.upstream.arrivals
+            if since <= arrival.begun < named.ended
+        ]
+        allowed = 1.5 * named.limit * LIMIT_WINDOW + 5
+        most = max(
+            (sum(at <= other < at + LIMIT_WINDOW for other in times) for at in times),
+            default=0,
+        )
+        if most > allowed:
+            findings.append(
+                f"LIMIT: {named.upstream.name} named {named.limit:g} and got {most} "
+                f"requests in {LIMIT_WINDOW:g} s"
+            )
+    return findings
+
+
 def judge_crashing_part(
     part: str,
     upstreams: t.Iterable[UpstreamStandIn],
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,7 +7,7 @@
 import trio
 
 from tests.soak.callers import Callers
-from tests.soak.judge import judge
+from tests.soak.judge import judge, judge_limits
 from tests.soak.troubles import make_trouble
 from tests.soak.world import World
 
@@ -47,6 +47,7 @@
                 *world.findings,
                 *recovered,
                 *find_exits(world),
+                *judge_limits(world.limits),
                 *judge(
                     callers.calls,
                     world.upstreams,
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -9,12 +9,15 @@
 
 from tests.site.upstream import Behavior, UpstreamStandIn
 from tests.soak.proxy import Mode
-from tests.soak.world import NodeProcess, World
+from tests.soak.world import NamedLimit, NodeProcess, World
 
 LONGEST_GAP = 0.6  # seconds between two troubles
 SHORTEST, LONGEST = 0.3, 2.5  # seconds that one lasts
 SILENCES = (0.8, 1.3)  # seconds, shortest and longest of a sound upstream
 
+LIMIT_FACTOR = 3.0  # a limit holds from some seconds after it was first named
+LIMITS = (b"0", b"0.5", b"2", b"8", b"40", b"-3", b"nan", b"1e9", b"many")
+
 BEHAVIORS = (
     {"cut_after": 2},
     {"silent_after": 1},
@@ -118,6 +121,28 @@
     world.store_troubled.append(trio.current_time())
 
 
+async def limit_upstreams(world: World, source: random.Random, lasts: float) -> None:
+    """Have some upstreams name limits that change, end, or make no sense."""
+    service = source.choice(("engines", "plain"))
+    found = [each for each in world.upstreams if each.service == service]
+    chosen = source.sample(found, source.randint(1, len(found)))
+    for _ in range(source.randint(1, 2)):
+        named = []
+        for upstream in chosen:
+            value = source.choice(LIMITS)
+            upstream.limit = value
+            with contextlib.suppress(ValueError):
+                limit = NamedLimit(upstream, float(value), trio.current_time())
+                if 0.0 <= limit.limit < 1000.0:
+                    named.append(limit)
+        world.limits += named
+        await trio.sleep(LIMIT_FACTOR * lasts)
+        for limit in named:
+            limit.ended = min(limit.ended, trio.current_time())
+    for upstream in chosen:
+        upstream.limit = None
+
+
 async def trouble_upstream(world: World, source: random.Random, lasts: float) -> None:
     """Have an upstream misbehave in one way."""
     upstream = source.choice(world.upstreams)
@@ -224,6 +249,8 @@
     reload_node,
     trouble_link,
     trouble_link,
+    limit_upstreams,
+    limit_upstreams,
     trouble_store,
     trouble_upstream,
     trouble_upstream,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -51,6 +51,16 @@
     ended: float = float("inf")
 
 
+@dataclass
+class NamedLimit:
+    """A limit that an upstream named for some time."""
+
+    upstream: UpstreamStandIn
+    limit: float
+    begun: float
+    ended: float = float("inf")
+
+
 @dataclass
 class NodeProcess:
     """One node.
@@ -126,6 +136,7 @@
         self.store_link = Link("")
         self.nodes: list[NodeProcess] = []
         self.stops: list[Stop] = []
+        self.limits: list[NamedLimit] = []
         self.findings: list[str] = []
         self.version = 2
         self.keys = ["key-1", "key-2"]
@@ -208,8 +219,11 @@
             link.restore()
             link.reset()
             link.troubled.append((now, now))
+        for limit in self.limits:
+            limit.ended = min(limit.ended, now)
         for upstream in self.upstreams:
             upstream.behavior = Behavior()
+            upstream.limit = None
             self.register(upstream)
         for node in self.nodes:
             node.signal(signal.SIGCONT)
