Cut nodes from all upstreams in the soak

Each node process reaches the upstreams over links of its own, whose addresses it finds in its view of the store: one node, or all but one, is cut, with connections that are reset, hang or live on, beside all other troubles.

--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -8,13 +8,14 @@
 import trio
 
 from tests.site.upstream import Behavior, UpstreamStandIn
-from tests.soak.proxy import Mode
+from tests.soak.proxy import Cut, Mode
 from tests.soak.world import NamedLimit, NodeProcess, World
 
 LONGEST_GAP = 0.6  # seconds between two troubles
 SHORTEST, LONGEST = 0.3, 2.5  # seconds that one lasts
 SILENCES = (0.8, 1.3)  # seconds, shortest and longest of a sound upstream
 
+CUT_FACTOR = 2.0  # a cut lasts longer than others
 LIMIT_FACTOR = 3.0  # a limit holds from some seconds after it was first named
 LIMITS = (b"0", b"0.5", b"2", b"8", b"40", b"-3", b"nan", b"1e9", b"many")
 
@@ -108,19 +109,44 @@
     if how == 0:
         world.store.refuse = True
     elif how == 1:
-        world.store_link.mode = source.choice([Mode.SILENT, Mode.SILENT_ANSWERS])
+        mode = source.choice([Mode.SILENT, Mode.SILENT_ANSWERS])
+        for node in world.nodes:
+            node.store_link.mode = mode
     elif how == 2:
-        world.store_link.delay = 0.4
+        for node in world.nodes:
+            node.store_link.delay = 0.4
     else:
         world.store.forget()
-        world.store_link.reset()
+        _reset_store_links(world)
     await trio.sleep(lasts)
     world.store.refuse = False
-    world.store_link.restore()
-    world.store_link.reset()
+    for node in world.nodes:
+        node.store_link.restore()
+    _reset_store_links(world)
     world.store_troubled.append(trio.current_time())
 
 
+def _reset_store_links(world: World) -> None:
+    for node in world.nodes:
+        node.store_link.reset()
+
+
+async def cut_nodes(world: World, source: random.Random, lasts: float) -> None:
+    """Cut some nodes, or all but one, from all upstreams."""
+    how = source.choice(list(Cut))
+    count = source.randint(1, len(world.nodes) - 1)
+    nodes = source.sample(world.nodes, count)
+    begun = trio.current_time()
+    links = [link for node in nodes for link in node.links.values()]
+    for link in links:
+        link.cut(how)
+    await trio.sleep(CUT_FACTOR * lasts)
+    for link in links:
+        link.restore()
+    for link in world.links.values():
+        link.troubled.append((begun, trio.current_time()))
+
+
 async def limit_upstreams(world: World, source: random.Random, lasts: float) -> None:
     """Have some upstreams name limits that change, end, or make no sense."""
     service = source.choice(("engines", "plain"))
@@ -249,6 +275,8 @@
     reload_node,
     trouble_link,
     trouble_link,
+    cut_nodes,
+    cut_nodes,
     limit_upstreams,
     limit_upstreams,
     trouble_store,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -27,6 +27,7 @@
 node = "{name}"
 ip = "{ip}"
 zone = "zone-a"
+internal-ports = [{internal}, {internal}]
 seeds = [{seeds}]
 
 [listen]
@@ -80,6 +81,11 @@
     control: str
     settings: pathlib.Path
     log: pathlib.Path
+    store_link: Link
+    # How it reaches each upstream, by the upstream's name.
+    links: dict[str, Link] = field(default_factory=dict)
+    # What it finds in the store for an upstream's address.
+    view: dict[str, str] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = None
     busy: bool = False
     disturbed: list[float] = field(default_factory=list)
@@ -133,7 +139,6 @@
         self.upstreams: list[UpstreamStandIn] = []
         self.numbers = itertools.count(1)  # of upstreams that are added later
         self.links: dict[str, Link] = {}
-        self.store_link = Link("")
         self.nodes: list[NodeProcess] = []
         self.stops: list[Stop] = []
         self.limits: list[NamedLimit] = []
@@ -148,14 +153,12 @@
         (port,) = find_ports(1)
         await self._nursery.start(self.store.run, port)
         self._write_configuration()
-        self.store_link = Link(self.store.address)
-        await self._nursery.start(self.store_link.run)
         for number in range(3):
             await self.add_upstream(UpstreamStandIn(f"e-{number}", layers=(0, 79)))
         for number in range(3):
             await self.add_upstream(UpstreamStandIn(f"p-{number}", service="plain"))
         for number in range(node_count):
-            self.nodes.append(self._make_node(number))
+            self.nodes.append(await self._make_node(number))
         for node in self.nodes:
             node.start()
         with trio.fail_after(START_LIMIT):
@@ -178,6 +181,8 @@
         await self._nursery.start(link.run)
         self.upstreams.append(upstream)
         self.links[upstream.name] = link
+        for node in self.nodes:
+            await self._link(node, upstream.name)
         self.register(upstream)
 
     def register(self, upstream: UpstreamStandIn, **changes: object) -> None:
@@ -215,7 +220,7 @@
         """End all troubles."""
         now = trio.current_time()
         self.store.refuse = False
-        for link in (self.store_link, *self.links.values()):
+        for link in self.list_links():
             link.restore()
             link.reset()
             link.troubled.append((now, now))
@@ -228,6 +233,21 @@
         for node in self.nodes:
             node.signal(signal.SIGCONT)
 
+    def list_links(self) -> list[Link]:
+        """Return all links."""
+        found = list(self.links.values())
+        for node in self.nodes:
+            found += [node.store_link, *node.links.values()]
+        return found
+
+    async def _link(self, node: NodeProcess, name: str) -> None:
+        """Give a node a link of its own to an upstream."""
+        shared = self.links[name].address
+        link = Link(shared)
+        await self._nursery.start(link.run)
+        node.links[name] = link
+        node.view[shared] = link.address
+
     def _write_configuration(self) -> None:
         tenants = [{"name": "hule", "api-keys": list(self.keys)}]
         content = make_configuration(self.version, tenants=tenants)
@@ -238,10 +258,17 @@
             route["sticky"] = self._sticky and route["kind"] == "streaming"
         self.store.put(protocol.CONFIGURATION_KEY, content)
 
-    def _make_node(self, number: int) -> NodeProcess:
+    async def _make_node(self, number: int) -> NodeProcess:
         name = f"n-{number}"
         ip = f"127.0.{self._network}.{10 + number}"
-        front, ready, control = (f"{ip}:{port}" for port in find_ports(3, ip))
+        *ports, internal = find_ports(4, ip)
+        front, ready, control = (f"{ip}:{port}" for port in ports)
+        view: dict[str, str] = {}
+        (store_port,) = find_ports(1)
+        await self._nursery.start(self.store.run_view, store_port, view)
+        store_link = Link(f"127.0.0.1:{store_port}")
+        await self._nursery.start(store_link.run)
+        self.store.views[store_link.address] = view  # nodes name the link's address
         seeds = ", ".join(f'"{node.control}"' for node in self.nodes)
         path = self._folder / f"{name}.toml"
         path.write_text(
@@ -253,8 +280,14 @@
                 ready=ready,
                 control=control,
                 grace=GRACE,
-                store=self.store_link.address,
+                store=store_link.address,
+                internal=internal,
             )
         )
         log = self._folder / f"{name}.log"
-        return NodeProcess(name, ip, front, ready, control, path, log)
+        node = NodeProcess(
+            name, ip, front, ready, control, path, log, store_link, view=view
+        )
+        for upstream in self.upstreams:
+            await self._link(node, upstream.name)
+        return node
