Let a link come back after two cuts that overlap

The soak's links stayed closed for good when a second cut began during the first: the event that the link waited for was replaced.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -71,8 +71,10 @@
 
     def cut(self, how: Cut) -> None:
         """Cut the link; `restore` ends that."""
-        self._cut, self._restored = how, trio.Event()
-        self._listening.cancel()
+        if self._cut is None:
+            self._restored = trio.Event()
+            self._listening.cancel()
+        self._cut = how
         if how is Cut.RESET:
             self.reset()
         elif how is Cut.HANG:
