Use the few upstreams that are reached if no peer can help

A cut ended only with the half; until then a node without a peer now sends directly once a check has reached any upstream. Fails before: the request was refused.

--- a/src/tarragonrudder/core/forwarding/reachability.py
+++ b/src/tarragonrudder/core/forwarding/reachability.py
@@ -30,6 +30,13 @@
 
     Load pattern: a node loses its links to all upstreams while callers still reach
     it. Each upstream seems dead from there, and none is.
+
+    Attributes
+    ----------
+    is_cut : bool
+        Whether requests should go to peers.
+    reaches_some : bool
+        Whether the latest check reached an upstream; true before the first.
     """
 
     def __init__(self, source: random.Random) -> None:
@@ -40,6 +47,7 @@
         self._passed = 0  # checks in a row that reached upstreams during a cut
         self._restored_at = -RETURN_PERIOD
         self.is_cut = False
+        self.reaches_some = True
 
     def note_failure(self, upstream: str, now: float) -> None:
         """Record that an upstream could not be reached, broke off or was silent."""
@@ -75,6 +83,7 @@
             Upstreams that a new connection was made to, and all that were tried.
         """
         self._checked_at = now
+        self.reaches_some = reached > 0
         if not self.is_cut:
             if reached > 0 or tried < MIN_FAILED:
                 return Finding.NOTHING
--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -124,6 +124,11 @@
         """Version of the configuration in force, 0 without one."""
         return self.route_table.version if self.route_table is not None else 0
 
+    @property
+    def can_send_directly(self) -> bool:
+        """Whether this node may reach an upstream itself."""
+        return not self.reachability.is_cut or self.reachability.reaches_some
+
     def adopt(self, table: RouteTable) -> bool:
         """Apply a configuration if it is newer than the one in force."""
         if self.route_table is not None and table.version <= self.route_table.version:
@@ -192,7 +197,7 @@
             peer = self.peer_table.choose(avoided, now)
             if peer is not None:
                 return peer
-        if self.reachability.is_cut:
+        if not self.can_send_directly:
             return None
         usable = self.upstream_table.list_usable(service, now, avoided)
         candidates = self.limit_gate.list_free(usable, now)
@@ -257,7 +262,7 @@
             peer = self.peer_table.choose(avoided, now)
             if peer is not None:
                 return make_relay_path(service, peer)
-        if self.reachability.is_cut:
+        if not self.can_send_directly:
             message = "this node reaches neither upstreams nor a node that has room"
             if may_have_run:
                 return UpstreamFailed(message, RunState.UNKNOWN)
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -137,7 +137,7 @@
         """Whether the load balancer may send new connections to this node."""
         if self._ingress.is_stopping or self.state.route_table is None:
             return False
-        if self.state.reachability.is_cut:
+        if not self.state.can_send_directly:
             now = trio.current_time()
             return self.state.peer_table.count_available(now) > 0
         return bool(self.registry.entries)
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -95,7 +95,8 @@
 
 
 def make_cut_state(*peers):
-    state = add(make_state(), make_engine("e1", 0, 79), make_plain("p1"))
+    engines = make_engine("e1", 0, 39), make_engine("e2", 40, 79)
+    state = add(make_state(), *engines, make_plain("p1"))
     for name in ("a", "b"):
         state.reachability.note_failure(name, 0.0)
     state.record_reach_check(0, 2, 0.0)
@@ -124,6 +125,14 @@
         assert isinstance(found, expected)
 
 
+def test_node_that_reaches_few_upstreams_uses_them_if_no_peer_can_help():
+    state = make_cut_state()
+    state.record_reach_check(1, 5, 0.3)
+    assert state.reachability.is_cut
+    assert find(state, now=0.3).names == ("e1", "e2")
+    assert state.choose_upstream("plain", (), 0.3).name == "p1"
+
+
 @pytest.mark.parametrize(
     ("peers", "relayed", "expected"),
     [(("x",), False, "node:x"), ((), False, None), (("x",), True, None)],
