Don't take a fenced planner's lease up again by a renewal under way

A planner whose order was refused for an older fencing token gives its lease up. A renewal that was under way at that moment set the lease's end anew when it returned, so that the planner went on with the old token for one lease more: 16 engines got an order with it again, and were loaded up to nine seconds late. The answer of a renewal now counts only if the lease was still held when it came.

--- a/src/tarragonrudder/platform/loading_planner.py
+++ b/src/tarragonrudder/platform/loading_planner.py
@@ -75,7 +75,10 @@
     async def _acquire_or_renew(self) -> None:
         started_at = trio.current_time()
         if self._lease_expires_at > started_at:
-            if await self._store.renew_lease(self._lease):
+            renewed = await self._store.renew_lease(self._lease)
+            if not self._lease_expires_at:
+                return  # fenced or released meanwhile
+            if renewed:
                 self._lease_expires_at = started_at + LEASE_TTL
             else:
                 self._lease_expires_at = 0.0
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -8,6 +8,7 @@
 from tarragonrudder.edges.relay import ResponseAborted
 from tarragonrudder.platform.ingress import BALANCER_LAG, CallerReply
 from tarragonrudder.platform.loading_planner import LEASE_TTL, PLAN_PERIOD
+from tarragonrudder.platform.metadata_store import MetadataStore
 from tarragonrudder.platform.peer_gossip import ROUND_PERIOD
 from tests.site.site import make_configuration, open_site, send_request
 from tests.site.upstream import Behavior, UpstreamStandIn
@@ -534,3 +535,33 @@
         await wait_for(
             lambda: all(engine.fence > another for engine in engines), 3 * LEASE_TTL
         )
+
+
+async def test_renewal_under_way_does_not_restore_a_fenced_planner(monkeypatch):
+    # It went on with its old token for one lease more.
+    renew_lease = MetadataStore.renew_lease
+    renewing = trio.Event()
+
+    async with open_site() as site:
+
+        async def renew_slowly(store, lease):
+            renewed = await renew_lease(store, lease)
+            item = site.store.items.get("tarragonrudder/planner")
+            if item is not None and item[3] == lease:
+                renewing.set()
+                await trio.sleep(6 * PLAN_PERIOD)
+            return renewed
+
+        monkeypatch.setattr(MetadataStore, "renew_lease", renew_slowly)
+        await site.add_node(ready=False)
+        with trio.fail_after(8.0):
+            await renewing.wait()
+        fence = site.store.revision + 100
+        names = [f"s-{number}" for number in range(16)]
+        engines = [UpstreamStandIn(name, kind="small", fence=fence) for name in names]
+        await site.add(*engines)
+        await wait_for(lambda: all(each.orders for each in engines), 5 * PLAN_PERIOD)
+        await trio.sleep(2 * LEASE_TTL)
+        for engine in engines:
+            fences = [order["fence"] for order in engine.orders]
+            assert len(fences) == len(set(fences))
