Have a planner that reaches no upstream give up its lease

A node that was cut off from all upstreams kept the planner's lease, so that no engine was loaded anywhere for as long as the cut lasted. It releases the lease and takes none until the cut ends. The new test fails before: no other node held the lease within two lease times.

--- a/src/tarragonrudder/platform/loading_planner.py
+++ b/src/tarragonrudder/platform/loading_planner.py
@@ -67,7 +67,10 @@
     async def _run_election(self) -> None:
         while True:
             try:
-                await self._acquire_or_renew()
+                if self._state.reachability.is_cut:
+                    await self.release()
+                else:
+                    await self._acquire_or_renew()
             except StoreError as error:
                 self._log("planner_store_failed", None, reason=str(error))
             await trio.sleep(RENEW_PERIOD * (0.7 + 0.3 * self._random.random()))
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -12,6 +12,7 @@
 from tarragonrudder.platform.peer_gossip import ROUND_PERIOD
 from tests.site.site import make_configuration, open_site, send_request
 from tests.site.upstream import Behavior, UpstreamStandIn
+from tests.soak.proxy import Cut
 
 # Time limits that the platform sets, in seconds.
 CONFIGURATION_BOUND = 2.0
@@ -565,3 +566,21 @@
         for engine in engines:
             fences = [order["fence"] for order in engine.orders]
             assert len(fences) == len(set(fences))
+
+
+async def test_planner_that_is_cut_off_gives_up_its_lease():
+    async with open_site() as site:
+        await site.add(*(UpstreamStandIn(f"p-{n}", service="plain") for n in range(3)))
+        node = await site.add_node(linked=True)
+        await wait_for(lambda: "tarragonrudder/planner" in site.store.items, 5.0)
+        other = await site.add_node(seeds=(node.control,))
+        node.cut(Cut.RESET)
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(node.ask, "/look/1")
+
+        def find_holder():
+            item = site.store.items.get("tarragonrudder/planner")
+            return item[0].decode() if item is not None else None
+
+        await wait_for(lambda: find_holder() == other.control, 2 * LEASE_TTL)
