Tell what a silent stream and a refused call say of the node's own links

Two faults of the search for cuts, found by reading the change again. Numbers of headers are read by one function with a name of its own.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -64,6 +64,7 @@
 # Events after which an attempt counts as sound. An engine that a request crashes may
 # still send what it wrote in its first pass.
 SOUND_EVENTS = 4
+CUT_MESSAGE = "this node reaches neither upstreams nor a node that has room"
 REMOTE_PENALTY = 0.15  # added slot utilization, to prefer the own data centre
 LIMITED_PENALTY = 0.3  # added slot utilization, to spare upstreams in need
 MAX_LIMIT_RETRY_AFTER = 30.0  # seconds; a limit may have ended by then
@@ -263,10 +264,9 @@
             if peer is not None:
                 return make_relay_path(service, peer)
         if not self.can_send_directly:
-            message = "this node reaches neither upstreams nor a node that has room"
             if may_have_run:
-                return UpstreamFailed(message, RunState.UNKNOWN)
-            return NoChain(message, retry_after=self._add_jitter(FULL_RETRY_AFTER))
+                return UpstreamFailed(CUT_MESSAGE, RunState.UNKNOWN)
+            return self._refuse_cut()
         path = self._search(request, service, avoided, first_upstreams, route, now)
         if path is not None and (path.has_capacity or may_have_run):
             self.limit_gate.leave(request.request_id)
@@ -325,6 +325,8 @@
         self.limit_gate.leave(request.request_id)
         if may_have_run:
             return OutcomeUnknown("the upstream broke off", RunState.UNKNOWN)
+        if not self.can_send_directly:
+            return self._refuse_cut()
         if limit_wait is not None:
             return self._refuse_limited(limit_wait)
         return Overloaded(
@@ -549,9 +551,6 @@
         """Avoid the stages of a silent path until the culprit is known."""
         for name in names:
             self.upstream_table.suspect(name, now, SILENT_PERIOD)
-        # Of a path that is silent as a whole, the first stage is what is not reached.
-        for name in list(names)[:1]:
-            self.reachability.note_failure(name, now)
 
     def mark_culprit(self, culprit: str, names: t.Iterable[str], now: float) -> None:
         """Avoid a stage found at fault, and clear the suspicion of the others."""
@@ -590,6 +589,10 @@
             self.on_blocked(trait, self.crash_tracker.count_crashes(trait))
         self._reported_blocks = frozenset(blocked)
 
+    def _refuse_cut(self) -> Problem:
+        after = self._add_jitter(FULL_RETRY_AFTER)
+        return NoChain(CUT_MESSAGE, retry_after=after)
+
     def _refuse_limited(self, wait: float) -> Problem:
         after = self._add_jitter(FULL_RETRY_AFTER)
         if math.isfinite(wait):
--- a/src/tarragonrudder/edges/stall_handler.py
+++ b/src/tarragonrudder/edges/stall_handler.py
@@ -89,6 +89,7 @@
                 job.fresh = True
                 if not culprits:
                     self._state.suspect_silent(excluded, now)
+                    self._note_silent_connection(path, excluded, now)
         self._sender.log(
             "stalled",
             job.request.request_id,
@@ -99,6 +100,15 @@
         )
         return True
 
+    def _note_silent_connection(
+        self, path: Path, silent: frozenset[str], now: float
+    ) -> None:
+        """Record a silence that may be of this node's own links."""
+        first = path.names[0]
+        is_upstream = self._state.upstream_table.find(first) is not None
+        if is_upstream and (first in silent or not silent):
+            self._state.reachability.note_failure(first, now)
+
     async def _replace_leaving(self, path: Path, silence: float) -> None:
         """Replace stages that are about to exit, while they still serve."""
         leaving = self._state.find_draining(path.names) - self._replaced
--- a/src/tarragonrudder/platform/upstream_client.py
+++ b/src/tarragonrudder/platform/upstream_client.py
@@ -52,7 +52,7 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 MISDIRECTED = 421
-LIMIT_PATTERN = re.compile(rb"[0-9]{1,32}(\.[0-9]{0,32})?([eE][+-]?[0-9]{1,3})?")
+NUMBER_PATTERN = re.compile(rb"[0-9]{1,32}(\.[0-9]{0,32})?([eE][+-]?[0-9]{1,3})?")
 MAX_LOGGED_VALUE = 64  # bytes of a header's value
 # Called with an upstream, the headers of its answer, and whether these are complete:
 # what they don't name holds no more.
@@ -134,7 +134,7 @@
         return classify_response(head, request_id)
     if head.find(protocol.NOT_EXECUTED) is None:
         return InvalidResponse(f"status {head.status} of another node")
-    after = decode_limit(head.find(protocol.RETRY_AFTER) or b"")
+    after = decode_number(head.find(protocol.RETRY_AFTER) or b"")
     return Rejected(None, False, after or 0.0)
 
 
@@ -424,7 +424,7 @@
         values = [value for name, value in headers if name.lower() == protocol.LIMIT]
         limits = []
         for value in values:
-            limit = decode_limit(value)
+            limit = decode_number(value)
             if limit is not None:
                 limits.append(limit)
                 continue
@@ -451,10 +451,10 @@
         await self._client.aclose()
 
 
-def decode_limit(value: bytes) -> float | None:
-    """Return a limit in requests a second; None if it is no number of 0 or more."""
+def decode_number(value: bytes) -> float | None:
+    """Return the number in a header's value; None if it is none of 0 or more."""
     text = value.strip()
-    if not LIMIT_PATTERN.fullmatch(text):
+    if not NUMBER_PATTERN.fullmatch(text):
         return None
     return float(text)
 
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -125,6 +125,14 @@
         assert isinstance(found, expected)
 
 
+@pytest.mark.parametrize(("ran", "expected"), [(False, NoChain), (True, Problem)])
+def test_refusal_of_a_call_tells_that_the_node_is_cut_off(ran, expected):
+    state = make_cut_state()
+    problem = state.refuse_call(make_request(), "plain", (), ran, 0.0)
+    assert isinstance(problem, expected)
+    assert problem.run_state is (RunState.UNKNOWN if ran else RunState.NOT_RUN)
+
+
 def test_node_that_reaches_few_upstreams_uses_them_if_no_peer_can_help():
     state = make_cut_state()
     state.record_reach_check(1, 5, 0.3)
