--- a/src/tarragonrudder/core/forwarding/reachability.py
+++ b/src/tarragonrudder/core/forwarding/reachability.py
@@ -2,6 +2,7 @@
 
 import enum
 import random
+import typing as t
 
 # Seconds in which failures at different upstreams count together.
 FAILURE_WINDOW = 1.0
@@ -48,10 +49,13 @@
         self._restored_at = -RETURN_PERIOD
         self.is_cut = False
         self.reaches_some = True
+        # Called after each failure, as a check may be due.
+        self.on_failure: t.Callable[[], None] = lambda: None
 
     def note_failure(self, upstream: str, now: float) -> None:
         """Record that an upstream could not be reached, broke off or was silent."""
         self._failures[upstream] = self._failed_at = now
+        self.on_failure()
 
     def is_suspicious(self, now: float) -> bool:
         """Tell whether enough upstreams failed to suspect the node's own links."""
--- a/src/tarragonrudder/edges/reach_checker.py
+++ b/src/tarragonrudder/edges/reach_checker.py
@@ -15,8 +15,6 @@
 from tarragonrudder.edges.job import LogFunction
 from tarragonrudder.edges.relay_interfaces import UpstreamClient
 
-IDLE_PERIOD = 0.02  # seconds between looks whether a check is due
-
 
 class ReachChecker:
     """Runs the checks that the state asks for.
@@ -40,18 +38,25 @@
         self._log = log
         self._random = source
         self._on_changed = on_changed
+        self._failed = trio.Event()
+        state.reachability.on_failure = self._handle_failure
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start to check when there is a reason."""
         nursery.start_soon(self._run)
 
+    def _handle_failure(self) -> None:
+        self._failed.set()
+
     async def _run(self) -> None:
         while True:
             now = trio.current_time()
             due = self._state.reachability.compute_check_time(now)
-            if due is None or due > now:
-                await trio.sleep(IDLE_PERIOD if due is None else due - now)
+            if due is None:
+                self._failed = trio.Event()
+                await self._failed.wait()
                 continue
+            await trio.sleep_until(due)
             await self._check()
 
     async def _check(self) -> None:
