Name upstreams in the lines on limits as all other lines do

limit_named and limit_ended held the name of one start of an upstream, so that explain didn't show them beside the requests of that upstream. Fails before.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -115,9 +115,9 @@
         self.on_news: t.Callable[[], None] = lambda: None
         # Called with a trait that crashes upstreams, and their number.
         self.on_blocked: t.Callable[[Trait, int], None] = lambda trait, crashes: None
-        # Called with an upstream, its limit, and where that was learned.
+        # Called with an upstream's incarnation, its limit, and who told it.
         self.on_limit: t.Callable[[str, float | None, str], None] = (
-            lambda upstream, limit, origin: None
+            lambda incarnation, limit, origin: None
         )
 
     @property
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -228,7 +228,8 @@
             "blocked", kind=trait.kind, key=trait.key, crashes=crashes
         )
 
-    def _log_limit(self, upstream: str, limit: float | None, origin: str) -> None:
+    def _log_limit(self, incarnation: str, limit: float | None, origin: str) -> None:
+        upstream = incarnation.rpartition("@")[0]
         if limit is None:
             self._telemetry.log_event("limit_ended", upstream=upstream, source=origin)
             return
--- a/tests/site/test_upstream_limit.py
+++ b/tests/site/test_upstream_limit.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from tarragonrudder.commands.history import read_history
 from tests.site.site import open_site
 from tests.site.upstream import UpstreamStandIn
 
@@ -147,3 +148,18 @@
         with trio.fail_after(8.0):
             while any(len(node.daemon.state.limits) for node in nodes):
                 await trio.sleep(0.05)
+
+
+async def test_limit_of_an_upstream_is_in_the_history_of_its_request(tmp_path, capfd):
+    async with open_site() as site:
+        limited = UpstreamStandIn("u-1", "plain")
+        limited.limit = b"5"
+        await site.add(limited)
+        node = await site.add_node()
+        await node.ask("/look/1", name="own-id")
+        await trio.sleep(1.2)  # until lines are written
+    log = tmp_path / "node.log"
+    log.write_text(capfd.readouterr().out)
+    context = read_history([log], "own-id").context_records
+    limits = [each.fields["limit"] for each in context if each.event == "limit_named"]
+    assert limits == [5.0]
