--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from tests.site.upstream import open_listeners
-
+HOST = "127.0.0.1"
+BACKLOG = 512  # connections that wait to be accepted
 CHUNK = 65536  # bytes
 LOOK_PERIOD = 0.02  # seconds between looks whether a silence has ended
 
@@ -55,19 +55,25 @@
         self._restored = trio.Event()
         self.troubled: list[tuple[float, float]] = []
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    async def run(self, task_status=None) -> None:
         """Forward until cancelled."""
-        listeners, self.address = await open_listeners()
-        task_status.started()
-        host, _, port = self.address.rpartition(":")
+        sock = _bind(0)
+        port = sock.getsockname()[1]
+        self.address = f"{HOST}:{port}"
         async with trio.open_nursery() as nursery:
             while True:
+                sock.listen(BACKLOG)
+                listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+                if task_status is not None:
+                    task_status.started()
+                    task_status = None
                 with trio.CancelScope() as self._listening:
                     await trio.serve_listeners(
-                        self._serve, listeners, handler_nursery=nursery
+                        self._serve, [listener], handler_nursery=nursery
                     )
-                await self._refuse_until_restored(host, int(port))
-                listeners = await trio.open_tcp_listeners(int(port), host=host)
+                # Bound again at once, so that nobody else gets the port meanwhile.
+                sock = _bind(port)
+                await self._refuse_until_restored(sock)
 
     def cut(self, how: Cut) -> None:
         """Cut the link; `restore` ends that."""
@@ -80,18 +86,15 @@
         elif how is Cut.HANG:
             self.mode = Mode.SILENT
 
-    async def _refuse_until_restored(self, host: str, port: int) -> None:
+    async def _refuse_until_restored(self, sock: socket.socket) -> None:
         with contextlib.ExitStack() as stack:
             if self._cut is Cut.HANG:
                 # Once its queue is full, further connections hang.
-                listener = stack.enter_context(socket.socket())
-                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                listener.bind((host, port))
-                listener.listen(0)
+                sock.listen(0)
                 for _ in range(2):
                     filler = stack.enter_context(socket.socket())
                     filler.setblocking(False)
-                    filler.connect_ex((host, port))
+                    filler.connect_ex(sock.getsockname())
             await self._restored.wait()
 
     def restore(self) -> None:
@@ -148,3 +151,11 @@
         if self.mode is Mode.SILENT_ANSWERS:
             return is_answer
         return self.mode is Mode.SILENT
+
+
+def _bind(port: int) -> socket.socket:
+    """Return a socket that holds a port; connections are refused until it listens."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((HOST, port))
+    return sock
