Judge a limit from the first answer that named it, and until the next one

The soak reported two upstreams that got more than their limits; neither is broken by the users' rule, which counts from the first answer with the limit. The stand-in notes which answers named a limit, and a new value ends the record of the one before.

--- a/tests/site/upstream.py
+++ b/tests/site/upstream.py
@@ -156,6 +156,8 @@
         Events of the answer before that.
     limit : bytes or None
         Requests a second that all its answers name as its limit, as on the wire.
+    named_limits : list of tuple
+        Time and value of each answer that named one.
     """
 
     name: str
@@ -179,6 +181,7 @@
     crash_part: str | None = None
     crash_after: int = 0
     limit: bytes | None = None
+    named_limits: list[tuple[float, bytes]] = field(default_factory=list)
     crashed: trio.Event = field(default_factory=trio.Event)
     streams: set[trio.SocketStream] = field(default_factory=set)
     spoiled: set[h11.Connection] = field(default_factory=set)  # got extra bytes
@@ -301,6 +304,8 @@
         headers = [("Attempt-Id", b"other" if how.foreign else own)]
         if self.limit is not None:
             headers.append(("Server-Limit", self.limit))
+            if not (how.hang or how.reset or how.raw):
+                self.named_limits.append((trio.current_time(), self.limit))
         expected = arrival.headers.get(b"expect-instance", b"").decode()
         rejected = 421 if expected != self.name else how.reject
         if rejected is not None:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -3,6 +3,7 @@
 import collections
 import typing as t
 
+from tarragonrudder.platform.upstream_client import decode_number
 from tests.site.upstream import Arrival, UpstreamStandIn
 from tests.soak.callers import DEADLINE, UNKNOWN_KEY, Call
 from tests.soak.world import NamedLimit, NodeProcess, Stop
@@ -79,20 +80,27 @@
     """Return which upstreams got more than the limits that they named."""
     findings = []
     for named in limits:
-        since = named.begun + STABLE_WINDOW
+        limit = decode_number(named.value)
+        answered = [
+            at
+            for at, value in named.upstream.named_limits
+            if value == named.value and named.begun <= at < named.ended
+        ]
+        if limit is None or not answered:
+            continue
+        since = answered[0] + STABLE_WINDOW
         times = [
             arrival.begun
             for arrival in named.upstream.arrivals
             if since <= arrival.begun < named.ended
         ]
-        allowed = 1.5 * named.limit * LIMIT_WINDOW + 5
         most = max(
             (sum(at <= other < at + LIMIT_WINDOW for other in times) for at in times),
             default=0,
         )
-        if most > allowed:
+        if most > 1.5 * limit * LIMIT_WINDOW + 5:
             findings.append(
-                f"LIMIT: {named.upstream.name} named {named.limit:g} and got {most} "
+                f"LIMIT: {named.upstream.name} named {limit:g} and got {most} "
                 f"requests in {LIMIT_WINDOW:g} s"
             )
     return findings
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -9,7 +9,7 @@
 
 from tests.site.upstream import Behavior, UpstreamStandIn
 from tests.soak.proxy import Cut, Mode
-from tests.soak.world import NamedLimit, NodeProcess, World
+from tests.soak.world import NodeProcess, World
 
 LONGEST_GAP = 0.6  # seconds between two troubles
 SHORTEST, LONGEST = 0.3, 2.5  # seconds that one lasts
@@ -153,20 +153,11 @@
     found = [each for each in world.upstreams if each.service == service]
     chosen = source.sample(found, source.randint(1, len(found)))
     for _ in range(source.randint(1, 2)):
-        named = []
         for upstream in chosen:
-            value = source.choice(LIMITS)
-            upstream.limit = value
-            with contextlib.suppress(ValueError):
-                limit = NamedLimit(upstream, float(value), trio.current_time())
-                if 0.0 <= limit.limit < 1000.0:
-                    named.append(limit)
-        world.limits += named
+            world.set_limit(upstream, source.choice(LIMITS))
         await trio.sleep(LIMIT_FACTOR * lasts)
-        for limit in named:
-            limit.ended = min(limit.ended, trio.current_time())
     for upstream in chosen:
-        upstream.limit = None
+        world.set_limit(upstream, None)
 
 
 async def trouble_upstream(world: World, source: random.Random, lasts: float) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -54,10 +54,10 @@
 
 @dataclass
 class NamedLimit:
-    """A limit that an upstream named for some time."""
+    """A limit that an upstream was told to name for some time."""
 
     upstream: UpstreamStandIn
-    limit: float
+    value: bytes
     begun: float
     ended: float = float("inf")
 
@@ -224,15 +224,23 @@
             link.restore()
             link.reset()
             link.troubled.append((now, now))
-        for limit in self.limits:
-            limit.ended = min(limit.ended, now)
         for upstream in self.upstreams:
             upstream.behavior = Behavior()
-            upstream.limit = None
+            self.set_limit(upstream, None)
             self.register(upstream)
         for node in self.nodes:
             node.signal(signal.SIGCONT)
 
+    def set_limit(self, upstream: UpstreamStandIn, value: bytes | None) -> None:
+        """Have an upstream name a limit, or none any more."""
+        now = trio.current_time()
+        for named in self.limits:
+            if named.upstream is upstream:
+                named.ended = min(named.ended, now)
+        upstream.limit = value
+        if value is not None:
+            self.limits.append(NamedLimit(upstream, value, now))
+
     def list_links(self) -> list[Link]:
         """Return all links."""
         found = list(self.links.values())
