Give each test process ports of its own range

Its port was free when it was looked up and taken by an outgoing connection before the node bound it.

--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import hashlib
+import itertools
+import os
 import pathlib
 import signal
 import socket
@@ -23,13 +25,24 @@
 BATCH_LIMIT = 32  # concurrent answers per engine
 
 
+# Ports below those that the kernel gives to outgoing connections, and a part of them
+# for each process: a port is free between the look and the start of a program.
+FIRST_PORT, PORTS_PER_PROCESS, PARTS = 10_000, 450, 50
+_candidates = itertools.cycle(range(PORTS_PER_PROCESS))
+
+
 def find_ports(count: int, host: str = "127.0.0.1") -> list[int]:
     """Return distinct loopback ports that are currently free."""
+    first = FIRST_PORT + os.getpid() % PARTS * PORTS_PER_PROCESS
+    found: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind((host, 0))
-        return [sock.getsockname()[1] for sock in sockets]
+        while len(found) < count:
+            sock = stack.enter_context(socket.socket())
+            port = first + next(_candidates)
+            with contextlib.suppress(OSError):
+                sock.bind((host, port))
+                found.append(port)
+    return found
 
 
 def wait_until(check: t.Callable[[], bool], timeout: float, what: str) -> None:
