Refuse entries of upstreams whose address, name or numbers can't be used

Cause: an entry's address was any text. The entry counted as an empty engine and was ordered to load layers; httpx.InvalidURL, which is no HTTPError, left the planner's task and ended the process, then its successor's.

Nesting of 200,000 levels and numbers of 4,000 digits were refused before as well: ruled out.

Change: address, name and numbers are validated where the entry is decoded, so that nothing behind it meets them; the planner and the path search leave out layers that the model doesn't have; a URL that can't be used is an HTTP error like any other.

--- a/src/tarragonrudder/core/domain/route.py
+++ b/src/tarragonrudder/core/domain/route.py
@@ -3,6 +3,8 @@
 import typing as t
 from dataclasses import dataclass, field
 
+from tarragonrudder.core.domain.fleet import LayerRange
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -109,6 +111,10 @@
     mean_answer_tokens: float
     kinds: t.Mapping[str, AcceleratorKind] = field(default_factory=dict)
 
+    def has_layers(self, layers: LayerRange) -> bool:
+        """Tell whether the model has all of some layers."""
+        return layers.first >= 0 and layers.last < self.layer_count
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
--- a/src/tarragonrudder/core/forwarding/path.py
+++ b/src/tarragonrudder/core/forwarding/path.py
@@ -236,7 +236,7 @@
         holdings: dict[tuple[str, int], _Holding | None] = {}
         for engine in engines:
             layers = engine.layers
-            if layers is None:
+            if layers is None or not self._profile.has_layers(layers):
                 continue
             key = (engine.kind, layers.last - layers.first)
             if key not in holdings:
--- a/src/tarragonrudder/core/placement/loading.py
+++ b/src/tarragonrudder/core/placement/loading.py
@@ -77,7 +77,14 @@
         """
         engines = []
         for registration in registrations:
-            if registration.service == service and registration.kind in profile.kinds:
+            layers = registration.layers
+            if (
+                registration.service != service
+                or registration.kind not in profile.kinds
+            ):
+                continue
+            # An entry of layers that the model doesn't have is no engine's of it.
+            if layers is None or profile.has_layers(layers):
                 engines.append(registration)
         if not self._is_settled(engines, now):
             return []
--- a/src/tarragonrudder/edges/connection.py
+++ b/src/tarragonrudder/edges/connection.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from tarragonrudder.core.domain.address import split_address
 from tarragonrudder.core.domain.route import CallerLimits
 
 READ_BYTES = 64 * 1024  # per read; fits a typical request or answer
@@ -76,11 +77,10 @@
     ConnectFailed
         If no connection is established within `timeout` seconds.
     """
-    host, _, port = address.rpartition(":")
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         with trio.move_on_after(timeout) as scope:
-            await sock.connect((host, int(port)))
+            await sock.connect(split_address(address))
         if scope.cancelled_caught:
             raise ConnectFailed(f"{address} did not answer in {timeout} s")
         configure_socket(sock)
--- a/src/tarragonrudder/platform/decoding.py
+++ b/src/tarragonrudder/platform/decoding.py
@@ -1,9 +1,11 @@
 """Decoders of the operator's configuration and of the upstreams' store entries."""
 
+import re
 import typing as t
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from tarragonrudder.core.domain.address import check_address
 from tarragonrudder.core.domain.fleet import LayerRange
 from tarragonrudder.core.domain.route import (
     AcceleratorKind,
@@ -22,6 +24,12 @@
 # half of it, which leaves time for another path: callers give up after two seconds.
 DEFAULT_GAP_TARGET = 1.0
 MAX_REPORT_LAG = 10.0  # seconds; a longer lag is taken for a mistake and capped
+MAX_LAYERS = 1 << 16  # of a model
+# Names of upstreams are sent as header values.
+NAME_PATTERN = re.compile(r"[!-~]{1,200}")
+
+Address: t.TypeAlias = t.Annotated[str, AfterValidator(check_address)]
+Count: t.TypeAlias = t.Annotated[int, Field(ge=0, lt=1 << 63)]
 
 
 class DocumentError(Exception):
@@ -118,21 +126,27 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
-class _LayerInterval(_Document):
-    first: int = Field(alias="from", ge=0)
+class _EntryPart(_Document):
+    """Part of an entry; a number of another type than its field's is an error."""
+
+    model_config = ConfigDict(strict=True)
+
+
+class _LayerInterval(_EntryPart):
+    first: int = Field(alias="from", ge=0, lt=MAX_LAYERS)
     # Exclusive end; the core's LayerRange includes its last layer.
-    target: int
+    target: int = Field(ge=0, le=MAX_LAYERS)
 
 
-class _UpstreamEntry(_Document):
+class _UpstreamEntry(_EntryPart):
     service: str
-    address: str
+    address: Address
     zone: str
     state: t.Literal["ready", "draining"]
-    slots: int = 1
+    slots: Count = 1
     kind: str = ""
     layers: _LayerInterval | None = None
-    born: int = 0
+    born: Count = 0
 
 
 def decode_configuration(text: bytes) -> RouteTable:
@@ -170,8 +184,10 @@
     Raises
     ------
     DocumentError
-        If it is invalid.
+        If it is invalid, or its name can't be sent to the upstream.
     """
+    if NAME_PATTERN.fullmatch(name) is None:
+        raise DocumentError("name: not of 1 to 200 visible ASCII characters")
     entry = _validate(_UpstreamEntry, text)
     layers = None
     if entry.layers is not None and entry.layers.target > entry.layers.first:
--- a/src/tarragonrudder/platform/http_client.py
+++ b/src/tarragonrudder/platform/http_client.py
@@ -78,9 +78,14 @@
     httpx.HTTPError
         If there is no response, or it is too long or takes too long.
     """
+    try:
+        request = client.build_request(method, url, timeout=timeout, **options)
+    except httpx.InvalidURL as error:  # not an HTTPError
+        raise httpx.UnsupportedProtocol(f"{url}: {error}") from error
     content = bytearray()
     with trio.move_on_after(TIMEOUTS_PER_CALL * timeout):
-        async with client.stream(method, url, timeout=timeout, **options) as response:
+        response = await client.send(request, stream=True)
+        try:
             async for data in response.aiter_raw():
                 content += data
                 if len(content) > max_bytes:
@@ -89,4 +94,6 @@
                 await trio.lowlevel.checkpoint()
             headers = tuple(response.headers.raw)
             return WholeResponse(response.status_code, bytes(content), headers)
+        finally:
+            await response.aclose()
     raise httpx.ReadTimeout(f"not complete in {TIMEOUTS_PER_CALL * timeout} s")
--- a/tests/forwarding/test_decoding.py
+++ b/tests/forwarding/test_decoding.py
@@ -114,6 +114,12 @@
         {"layers": {"from": -1, "target": 4}},
         {"layers": "all"},
         {"born": "soon"},
+        {"born": 1.5},
+        {"born": -1},
+        {"slots": "6"},
+        {"slots": -1},
+        {"layers": {"from": "0", "target": 4}},
+        {"layers": {"from": 0, "target": 2**62}},
     ],
 )
 def test_invalid_entry(changes):
@@ -121,6 +127,43 @@
         decode_entry("e", orjson.dumps({**ENTRY, **changes}))
 
 
+@pytest.mark.parametrize(
+    "address",
+    ["", "10.0.0.1", "10.0.0.1:", ":80", "10.0.0.1:http", "10.0.0.1:0", "10.0.0.1:-1"]
+    + ["10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:80 ", "10.0.0.1:8\u0661"]
+    + ["10.0.0.1:80/x", "a b:80", "a\n:80", "\u00e4:80", "[::1]:80", "u@10.0.0.1:80"],
+)
+def test_entry_with_an_unusable_address(address):
+    # One such entry ended the process of each planner in turn (incident odd-entries).
+    with pytest.raises(DocumentError, match="address"):
+        decode_entry("e", orjson.dumps({**ENTRY, "address": address}))
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"[" * 100_000,
+        b'{"a":' * 100_000,
+        orjson.dumps(ENTRY)[:-1] + b',"more":' + b"[" * 5000 + b"]" * 5000 + b"}",
+        orjson.dumps(ENTRY)[:-1] + b',"slots":' + b"9" * 5000 + b"}",
+        orjson.dumps(ENTRY)[:-1] + b',"slots":1e999}',
+        orjson.dumps(ENTRY)[:-1] + b',"born":' + b"9" * 30 + b"}",
+        orjson.dumps(ENTRY)[:-1] + b',"zone":"\\ud800"}',
+    ],
+)
+def test_entry_that_no_decoder_should_choke_on(text):
+    # Very deep nesting, numbers too large and unpaired surrogates name no upstream.
+    with pytest.raises(DocumentError):
+        decode_entry("e", text)
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a\n", "a\u00e4", "a\u20ac", "x" * 201])
+def test_entry_whose_name_fits_no_header(name):
+    # The name is sent as a header with each request; it raised on the way.
+    with pytest.raises(DocumentError, match="name"):
+        decode_entry(name, orjson.dumps(ENTRY))
+
+
 ID = (b"Attempt-Id", b"r1")
 SEAL = (b"Response-Seal", b"s")
 
