Don't end the process by an error in a task beside the requests

Callers lost all requests of a node whose planner, gossip, view of the store, registration or maintenance met any error that its code did not expect: these tasks ran in the daemon's own nursery, which an error cancels as a whole.

Change: BackgroundTasks starts them; an unexpected error is logged with its traceback (task_failed), and a lasting task is started again after a second. Where starting again would meet the same change of the store at once, the error is kept to the one entry or configuration (entry_failed, configuration_failed), so that a node goes on following the others. An error that still ends the process is logged before (ended_by_error). A settings file that is nested too deeply is refused like any other invalid one.

The site's tests fail if such an error was caught that they don't expect, so that none is hidden by this.

--- a/src/tarragonrudder/edges/path_waiters.py
+++ b/src/tarragonrudder/edges/path_waiters.py
@@ -3,6 +3,7 @@
 import trio
 
 from tarragonrudder.core.forwarding.wait_queue import Waiter, WaitQueue
+from tarragonrudder.edges.background import BackgroundTasks
 
 ROUND_PERIOD = 0.03  # seconds between rounds of searches
 SEARCHES_PER_ROUND = 3
@@ -14,12 +15,12 @@
     def __init__(self) -> None:
         self._queue = WaitQueue()
         self._events: dict[Waiter, trio.Event] = {}
-        self._nursery: trio.Nursery | None = None
+        self._tasks: BackgroundTasks | None = None
         self._is_running = False
 
-    def start(self, nursery: trio.Nursery) -> None:
-        """Run the rounds in a nursery, while requests wait."""
-        self._nursery = nursery
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Run the rounds as a task, while requests wait."""
+        self._tasks = tasks
 
     @property
     def is_full(self) -> bool:
@@ -39,9 +40,9 @@
         """Wait until a request may search again, or until a time."""
         event = self._events[waiter] = trio.Event()
         self._queue.join(waiter)
-        if self._nursery is not None and not self._is_running:
+        if self._tasks is not None and not self._is_running:
             self._is_running = True
-            self._nursery.start_soon(self._run_rounds)
+            self._tasks.start_soon(self._run_rounds)
         with trio.move_on_at(until):
             await event.wait()
 
@@ -57,7 +58,9 @@
             self._events[waiter].set()
 
     async def _run_rounds(self) -> None:
-        while len(self._queue):
-            await trio.sleep(ROUND_PERIOD)
-            self._wake(SEARCHES_PER_ROUND)
-        self._is_running = False
+        try:
+            while len(self._queue):
+                await trio.sleep(ROUND_PERIOD)
+                self._wake(SEARCHES_PER_ROUND)
+        finally:
+            self._is_running = False
--- a/src/tarragonrudder/edges/reach_checker.py
+++ b/src/tarragonrudder/edges/reach_checker.py
@@ -12,6 +12,7 @@
 )
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.upstream_table import Registration
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.job import LogFunction
 from tarragonrudder.edges.relay_interfaces import UpstreamClient
 
@@ -41,9 +42,9 @@
         self._failed = trio.Event()
         state.reachability.on_failure = self._handle_failure
 
-    def start(self, nursery: trio.Nursery) -> None:
+    def start(self, tasks: BackgroundTasks) -> None:
         """Start to check when there is a reason."""
-        nursery.start_soon(self._run)
+        tasks.keep_running(self._run)
 
     def _handle_failure(self) -> None:
         self._failed.set()
--- a/src/tarragonrudder/edges/relay.py
+++ b/src/tarragonrudder/edges/relay.py
@@ -11,6 +11,7 @@
 
 from tarragonrudder.core.domain.forwarded_request import ForwardedRequest
 from tarragonrudder.core.forwarding.state import ForwardingState
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.job import Job, LogFunction, Sender
 from tarragonrudder.edges.path_waiters import PathWaiters
 from tarragonrudder.edges.plain_calls import PlainCalls
@@ -67,10 +68,10 @@
         self._path_waiters = PathWaiters()
         self._streams = Streams(sender, self._stall_prober, self._path_waiters)
 
-    def start(self, nursery: trio.Nursery) -> None:
-        """Run tasks that outlive a request in a nursery."""
-        self._stall_prober.start(nursery)
-        self._path_waiters.start(nursery)
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Start tasks that outlive a request."""
+        self._stall_prober.start(tasks)
+        self._path_waiters.start(tasks)
 
     @property
     def waiting(self) -> int:
--- a/src/tarragonrudder/edges/stall_prober.py
+++ b/src/tarragonrudder/edges/stall_prober.py
@@ -5,6 +5,7 @@
 import trio
 
 from tarragonrudder.core.forwarding.path import Path
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.job import Sender
 
 # An engine's report lags by some hundred milliseconds, so the first one may not
@@ -35,7 +36,7 @@
 
     def __init__(self, sender: Sender) -> None:
         self._sender = sender
-        self._nursery: trio.Nursery | None = None
+        self._tasks: BackgroundTasks | None = None
         self._probed_at: dict[str, float] = {}
         self._listeners: set[ProbeListener] = set()
 
@@ -58,18 +59,18 @@
         for listener in list(self._listeners):
             listener.wake()
 
-    def start(self, nursery: trio.Nursery) -> None:
-        """Run probes in a nursery that outlives the requests."""
-        self._nursery = nursery
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Run probes as tasks that outlive the requests."""
+        self._tasks = tasks
 
     def probe(self, path: Path, now: float) -> None:
         """Start a probe of a path's first stage, unless one began just now."""
         first = path.hops[0].upstream
         probed_at = self._probed_at.get(first, -MIN_PROBE_INTERVAL)
-        if self._nursery is None or now - probed_at < MIN_PROBE_INTERVAL:
+        if self._tasks is None or now - probed_at < MIN_PROBE_INTERVAL:
             return
         self._probed_at[first] = now
-        self._nursery.start_soon(self._probe, first, path.names)
+        self._tasks.start_soon(self._probe, first, path.names)
 
     async def _probe(self, first: str, names: tuple[str, ...]) -> None:
         state = self._sender.state
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -18,6 +18,7 @@
 from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.decision_log import DecisionLog
 from tarragonrudder.edges.reach_checker import ReachChecker
 from tarragonrudder.edges.relay import Relay
@@ -153,14 +154,15 @@
             await nursery.start(self._ingress.run, settings.listen.front)
             if settings.relay_address:
                 await nursery.start(self._ingress.run, settings.relay_address, True)
-            nursery.start_soon(self._serve_control)
-            self._relay.start(nursery)
-            self.registry.start(nursery)
-            self.peers.start(nursery)
-            self._planner.start(nursery)
-            self._reach_checker.start(nursery)
-            nursery.start_soon(self._maintain_registration)
-            nursery.start_soon(self._run_maintenance)
+            tasks = BackgroundTasks(nursery, self._telemetry.log_event)
+            tasks.keep_running(self._serve_control)
+            self._relay.start(tasks)
+            self.registry.start(tasks)
+            self.peers.start(tasks)
+            self._planner.start(tasks)
+            self._reach_checker.start(tasks)
+            tasks.keep_running(self._maintain_registration)
+            tasks.keep_running(self._run_maintenance)
             await self._watch_signals()
             nursery.cancel_scope.cancel()
         await self._upstreams.close()
@@ -336,6 +338,11 @@
         self.peers.set_seeds(settings.seeds)
         self._telemetry.log_event("reloaded")
 
+    def report_end(self, error: Exception) -> None:
+        """Log the unexpected error by which the process ends."""
+        self._telemetry.log_event("ended_by_error", reason=repr(error))
+        self._telemetry.flush()
+
     async def stop(self) -> None:
         """Drain: stop accepting work, and return once all requests have completed.
 
@@ -373,4 +380,9 @@
     except SettingsError as error:
         print(f"tarragonrudder: {error}", file=sys.stderr)
         raise SystemExit(2) from error
-    trio.run(PlatformDaemon(path, settings).run)
+    daemon = PlatformDaemon(path, settings)
+    try:
+        trio.run(daemon.run)
+    except Exception as error:
+        daemon.report_end(error)
+        raise
--- a/src/tarragonrudder/platform/loading_planner.py
+++ b/src/tarragonrudder/platform/loading_planner.py
@@ -7,6 +7,7 @@
 
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.placement.loading import LoadingScheduler, Order
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.platform import protocol
 from tarragonrudder.platform.metadata_store import (
     Lease,
@@ -55,10 +56,10 @@
         self._lease: Lease | None = None
         self._lease_expires_at = 0.0
 
-    def start(self, nursery: trio.Nursery) -> None:
+    def start(self, tasks: BackgroundTasks) -> None:
         """Start the election and the planning loop."""
-        nursery.start_soon(self._run_election)
-        nursery.start_soon(self._run_planning, nursery)
+        tasks.keep_running(self._run_election)
+        tasks.keep_running(self._run_planning, tasks)
 
     async def release(self) -> None:
         """Revoke the lease, so that another node can acquire it."""
@@ -111,7 +112,7 @@
         self._scheduler = LoadingScheduler()
         self._log("planner_won", None, fence=self._fencing_token)
 
-    async def _run_planning(self, nursery: trio.Nursery) -> None:
+    async def _run_planning(self, tasks: BackgroundTasks) -> None:
         while True:
             await trio.sleep(PLAN_PERIOD)
             now = trio.current_time()
@@ -134,7 +135,7 @@
                     now,
                 )
                 for order in orders:
-                    nursery.start_soon(self._send_order, order)
+                    tasks.start_soon(self._send_order, order)
 
     async def _send_order(self, order: Order) -> None:
         upstream = self._state.upstream_table.find(order.upstream)
--- a/src/tarragonrudder/platform/node_settings.py
+++ b/src/tarragonrudder/platform/node_settings.py
@@ -72,6 +72,8 @@
         return PlatformNodeSettings.model_validate(content)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
+    except RecursionError as error:
+        raise SettingsError(f"{path}: nested too deeply") from error
     except ValidationError as error:
         locations = []
         for item in error.errors(include_url=False, include_input=False):
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -20,6 +20,7 @@
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.upstream_limits import MAX_REPORTS, LimitReport
 from tarragonrudder.core.forwarding.usage_tracker import Usage
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.platform.http_client import (
     WholeResponse,
     fetch_whole,
@@ -94,7 +95,7 @@
         self._random = source
         self._known_addresses: set[str] = set()
         self._heard_at: dict[str, float] = {}
-        self._nursery: trio.Nursery | None = None
+        self._tasks: BackgroundTasks | None = None
         self._announce_pending = False
         self._answered = 0  # exchanges that a peer answered
         self._answered_at = -math.inf
@@ -102,10 +103,10 @@
             EXCHANGE_TIMEOUT, MAX_CONNECTIONS, MAX_IDLE_CONNECTIONS
         )
 
-    def start(self, nursery: trio.Nursery) -> None:
+    def start(self, tasks: BackgroundTasks) -> None:
         """Start the gossip rounds."""
-        self._nursery = nursery
-        nursery.start_soon(self._run_rounds)
+        self._tasks = tasks
+        tasks.keep_running(self._run_rounds, tasks)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -122,9 +123,9 @@
         alone, its name would need as long to reach all nodes of a large fleet as
         the period for which a culprit is avoided.
         """
-        if self._nursery is not None and not self._announce_pending:
+        if self._tasks is not None and not self._announce_pending:
             self._announce_pending = True
-            self._nursery.start_soon(self._announce, self._nursery)
+            self._tasks.start_soon(self._announce, self._tasks)
 
     def add_routes(self, app: QuartTrio) -> None:
         """Register the HTTP endpoints that peers call."""
@@ -177,7 +178,7 @@
             del self._heard_at[name]
         return list(self._heard_at)
 
-    async def _run_rounds(self) -> None:
+    async def _run_rounds(self, tasks: BackgroundTasks) -> None:
         while True:
             # Without the store's list of nodes, those who know more may be missed.
             is_complete = self._registry.has_snapshot
@@ -186,7 +187,7 @@
             answered = self._answered
             async with trio.open_nursery() as nursery:
                 for address in chosen:
-                    nursery.start_soon(self._exchange, address)
+                    nursery.start_soon(tasks.run_guarded, self._exchange, address)
             if is_complete and not has_asked_peers:
                 has_answer = self._answered > answered or not chosen
                 self._registry.confirm_configuration(has_answer)
@@ -199,11 +200,11 @@
         nodes = self.list_peer_addresses()
         return self._random.sample(nodes, min(count, len(nodes)))
 
-    async def _announce(self, nursery: trio.Nursery) -> None:
+    async def _announce(self, tasks: BackgroundTasks) -> None:
         await trio.sleep(ANNOUNCE_DELAY)
         self._announce_pending = False
         for address in self._sample_peers(ANNOUNCE_FANOUT):
-            nursery.start_soon(self._exchange, address)
+            tasks.start_soon(self._exchange, address)
 
     async def _exchange(self, address: str) -> None:
         asked_at = trio.current_time()
--- a/src/tarragonrudder/platform/registry.py
+++ b/src/tarragonrudder/platform/registry.py
@@ -9,6 +9,7 @@
 
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.membership.read_schedule import ReadSchedule
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.platform import protocol
 from tarragonrudder.platform.decoding import DocumentError, decode_configuration
 from tarragonrudder.platform.metadata_store import (
@@ -141,9 +142,9 @@
                 found.append(key.removeprefix(protocol.NODE_PREFIX))
         return found
 
-    def start(self, nursery: trio.Nursery) -> None:
+    def start(self, tasks: BackgroundTasks) -> None:
         """Start to watch the store."""
-        nursery.start_soon(self._run_watch)
+        tasks.keep_running(self._run_watch)
 
     def adopt(self, text: bytes, origin: str) -> bool:
         """Apply a configuration if it is valid and newer than the one in force.
@@ -177,7 +178,11 @@
             )
             return False
         is_rewritten = origin == "store" and text != self.configuration_text
-        if not self._state.adopt(table, is_rewritten):
+        try:
+            if not self._state.adopt(table, is_rewritten):
+                return False
+        except Exception as error:  # changes behind it must still be applied
+            self._log("configuration_failed", None, reason=repr(error), source=origin)
             return False
         self.configuration_text = text
         self._configuration_digest = _compute_digest(text)
--- a/src/tarragonrudder/platform/upstream_entries.py
+++ b/src/tarragonrudder/platform/upstream_entries.py
@@ -119,7 +119,18 @@
         return True
 
     def _apply(self, name: str, value: bytes) -> bool:
-        """Apply an entry; return whether more than a heartbeat has changed."""
+        """Apply an entry; return whether more than a heartbeat has changed.
+
+        An unexpected error concerns this entry alone: it then names no upstream.
+        """
+        try:
+            return self._register(name, value)
+        except Exception as error:
+            self._log("entry_failed", None, upstream=name, reason=repr(error))
+            self._deregister(name)
+            return True
+
+    def _register(self, name: str, value: bytes) -> bool:
         if self.values.get(name) == value and self._upstream_table.find(name):
             return self._upstream_table.restore(name)
         self.values[name] = value
--- a/tests/forwarding/test_decoding.py
+++ b/tests/forwarding/test_decoding.py
@@ -333,6 +333,14 @@
         read_platform_settings(path)
 
 
+def test_settings_nested_too_deeply(tmp_path):
+    # The file may change at any time; a reload of this one ended the process.
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace("new-field = 3", f"x = {'[' * 5000}{']' * 5000}"))
+    with pytest.raises(SettingsError):
+        read_platform_settings(path)
+
+
 def test_settings_that_are_not_there(tmp_path):
     with pytest.raises(SettingsError):
         read_platform_settings(tmp_path / "none.toml")
--- a/tests/forwarding/test_wait_queue.py
+++ b/tests/forwarding/test_wait_queue.py
@@ -2,6 +2,7 @@
 import trio
 
 from tarragonrudder.core.forwarding.wait_queue import MAX_WAITING, Waiter, WaitQueue
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.path_waiters import (
     ROUND_PERIOD,
     SEARCHES_PER_ROUND,
@@ -84,13 +85,17 @@
         waiters.leave(waiter, is_served)
 
 
+def fail(event, request, **fields):
+    raise AssertionError(f"{event}: {fields}")
+
+
 @pytest.mark.parametrize("waiting", [1, 10, 60])
 async def test_searches_of_waiting_requests_share_a_rate(autojump_clock, waiting):
     # Load pattern: a lost stage leaves tens of requests of a node without a path. Each
     # searched 33 times a second, so that the node fell silent to its streams.
     fleet, waiters = Fleet(), PathWaiters()
     async with trio.open_nursery() as nursery:
-        waiters.start(nursery)
+        waiters.start(BackgroundTasks(nursery, fail))
         for number in range(waiting):
             nursery.start_soon(wait_for_place, waiters, fleet, number, 1.0)
     rounds = 1.0 / ROUND_PERIOD + 1
@@ -102,7 +107,7 @@
     # Load pattern: an engine returns, with room for all that wait.
     fleet, waiters = Fleet(), PathWaiters()
     async with trio.open_nursery() as nursery:
-        waiters.start(nursery)
+        waiters.start(BackgroundTasks(nursery, fail))
         for number in range(30):
             nursery.start_soon(wait_for_place, waiters, fleet, number, 1.0 + number)
         await trio.sleep(0.5)
@@ -116,7 +121,7 @@
 async def test_a_caller_that_leaves_is_out_at_once(autojump_clock):
     waiters = PathWaiters()
     async with trio.open_nursery() as nursery:
-        waiters.start(nursery)
+        waiters.start(BackgroundTasks(nursery, fail))
         with trio.move_on_after(0.2):
             await wait_for_place(waiters, Fleet(), 0, 5.0)
         assert waiters.count == 0
