Load layers that no engine holds any more, wherever the engines are

Cause: find_moves looked at one data centre at a time and left out each one whose engines can't hold a whole path. Layers that nobody holds were nobody's concern once that was every data centre, or where no engine of a data centre could be spared.

Change: the fleet's gaps are closed first, by engines whose layers have another copy anywhere, and if they don't suffice by placing all movable engines one behind the other. The choice for a single data centre is as before. A property test takes fleets at random, with engines that can't be moved: each that can hold the model comes to hold it, and no layer is given up.

Failing first: the five cases of test_layers_that_no_engine_holds_are_loaded_by_others. Ruled out: the lease (it was renewed) and the order's way (no order was given).

--- a/src/tarragonrudder/core/placement/layer_assignment.py
+++ b/src/tarragonrudder/core/placement/layer_assignment.py
@@ -93,49 +93,105 @@
 def find_moves(
     profile: EngineProfile, placed_engines: t.Sequence[PlacedEngine]
 ) -> dict[str, LayerRange]:
-    """Return engines to move, with the layers to take over in their data centre.
+    """Return engines to move, with the layers to take over.
 
-    Load pattern: an engine is lost for good, or for seconds, and all requests of
-    its data centre need a link that others share. An engine whose layers all
-    have a second copy there takes over. It is unavailable while it loads its new
-    layers, which is for less time than a crash lasts.
+    Load pattern: an engine is lost for good, or for seconds. Where no engine at all
+    has its layers, no request can be served, and any engine may take over. Otherwise
+    all requests of its data centre need a link that others share, and an engine whose
+    layers all have a second copy there takes over. It is unavailable while it loads
+    its new layers, which is for less time than a crash lasts.
     """
-    moves: dict[str, LayerRange] = {}
+    moves = _close_fleet_gaps(profile, placed_engines)
     centers = sorted({placed.data_center for placed in placed_engines})
     for center in centers:
         local = [placed for placed in placed_engines if placed.data_center == center]
-        counts = [0] * profile.layer_count
-        for placed in local:
-            for layer in range(placed.layers.first, placed.layers.last + 1):
-                counts[layer] += 1
-        if sum(counts) < profile.layer_count:
+        if sum(_count_copies(profile, local, moves)) < profile.layer_count:
             continue  # its engines can't hold a whole path
-        for _ in range(MAX_MOVES_PER_CENTER):
-            if 0 not in counts:
-                break
-            missing = counts.index(0)
-            spare = _find_spare_engine(profile, local, counts, moves)
-            if spare is None:
-                break
-            size = count_fitting_layers(profile, spare.kind)
-            first = min(missing, profile.layer_count - size)
-            moves[spare.name] = LayerRange(first, first + size - 1)
-            for layer in range(spare.layers.first, spare.layers.last + 1):
-                counts[layer] -= 1
-            for layer in range(first, first + size):
-                counts[layer] += 1
+        _move_spares(profile, local, moves, MAX_MOVES_PER_CENTER)
     return moves
 
 
+def _close_fleet_gaps(
+    profile: EngineProfile, placed_engines: t.Sequence[PlacedEngine]
+) -> dict[str, LayerRange]:
+    """Return moves after which some engine of the fleet holds each layer.
+
+    Engines that others can replace move first. If they don't suffice, engines are
+    placed one behind the other, as what they hold is of no use without the rest.
+    """
+    moves: dict[str, LayerRange] = {}
+    _move_spares(profile, placed_engines, moves, len(placed_engines))
+    if 0 not in _count_copies(profile, placed_engines, moves):
+        return moves
+    packed = _pack(profile, placed_engines)
+    if 0 not in _count_copies(profile, placed_engines, packed):
+        return packed
+    return moves
+
+
+def _move_spares(
+    profile: EngineProfile,
+    engines: t.Sequence[PlacedEngine],
+    moves: dict[str, LayerRange],
+    max_moves: int,
+) -> None:
+    """Add moves of engines to layers that none of them holds."""
+    for _ in range(max_moves):
+        counts = _count_copies(profile, engines, moves)
+        if 0 not in counts:
+            return
+        spare = _find_spare_engine(profile, engines, counts, moves)
+        if spare is None:
+            return
+        size = count_fitting_layers(profile, spare.kind)
+        first = min(counts.index(0), profile.layer_count - size)
+        moves[spare.name] = LayerRange(first, first + size - 1)
+
+
+def _pack(
+    profile: EngineProfile, placed_engines: t.Sequence[PlacedEngine]
+) -> dict[str, LayerRange]:
+    """Return moves that fill the layers of immovable engines up, in layer order."""
+    fixed = [placed for placed in placed_engines if not placed.movable]
+    movable = [placed for placed in placed_engines if placed.movable]
+    counts = _count_copies(profile, fixed, {})
+    moves: dict[str, LayerRange] = {}
+    for placed in sorted(movable, key=lambda each: (each.layers.first, each.name)):
+        size = count_fitting_layers(profile, placed.kind)
+        if 0 not in counts or size < 1:
+            continue
+        first = min(counts.index(0), profile.layer_count - size)
+        layers = LayerRange(first, first + size - 1)
+        for layer in range(first, first + size):
+            counts[layer] += 1
+        if layers != placed.layers:
+            moves[placed.name] = layers
+    return moves
+
+
+def _count_copies(
+    profile: EngineProfile,
+    engines: t.Iterable[PlacedEngine],
+    moves: t.Mapping[str, LayerRange],
+) -> list[int]:
+    """Return how many engines hold each layer, once moves are done."""
+    counts = [0] * profile.layer_count
+    for placed in engines:
+        layers = moves.get(placed.name, placed.layers)
+        for layer in range(layers.first, layers.last + 1):
+            counts[layer] += 1
+    return counts
+
+
 def _find_spare_engine(
     profile: EngineProfile,
-    local: t.Sequence[PlacedEngine],
+    engines: t.Sequence[PlacedEngine],
     counts: t.Sequence[int],
     moves: t.Container[str],
 ) -> PlacedEngine | None:
     """Return the slowest movable engine whose layers all have another copy."""
     best, best_factor = None, 0.0
-    for placed in local:
+    for placed in engines:
         if not placed.movable or placed.name in moves:
             continue
         layers = range(placed.layers.first, placed.layers.last + 1)
--- a/tests/forwarding/test_layer_assignment.py
+++ b/tests/forwarding/test_layer_assignment.py
@@ -1,4 +1,8 @@
+from dataclasses import replace
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tarragonrudder.core.domain.fleet import LayerRange
 from tarragonrudder.core.placement.layer_assignment import (
@@ -115,6 +119,99 @@
     assert find_moves(PROFILE, placed_engines) == {}
 
 
+GAPS = {
+    # Kind and layers of each engine, by data centre; which hold 27, 5 and 8 layers.
+    "no data centre holds a path": {
+        "a": [("fast", 0, 26), ("fast", 0, 26)],
+        "b": [("fast", 53, 79)],
+        "c": [("fast", 53, 79)],
+    },
+    "no layer of an engine has a copy in its data centre": {
+        "a": [("fast", 0, 26)],
+        "b": [("fast", 53, 79)],
+        "c": [("fast", 0, 26)],
+        "d": [("fast", 53, 79)],
+    },
+    "no engine's layers all have a copy": {
+        "a": [("fast", 0, 26), ("fast", 20, 46), ("fast", 40, 66)],
+    },
+    "gaps on both sides of what is held": {
+        "a": [("fast", 10, 36), ("slow", 30, 38)],
+        "b": [("fast", 37, 63), ("fast", 37, 63), ("small", 37, 42)],
+    },
+    "a gap that several must fill": {
+        "a": [("fast", 0, 26), ("fast", 53, 79)],
+        "b": [("slow", 0, 7)] * 4,
+    },
+}
+
+
+def make_gap(case):
+    placed_engines = []
+    for center, engines in GAPS[case].items():
+        for kind, first, last in engines:
+            name = f"{center}{len(placed_engines)}"
+            layers = LayerRange(first, last)
+            placed_engines.append(PlacedEngine(name, center, kind, layers, True))
+    return placed_engines
+
+
+def apply_moves(placed_engines, moves):
+    moved = []
+    for placed in placed_engines:
+        layers = moves.get(placed.name, placed.layers)
+        moved.append(replace(placed, layers=layers))
+    return moved
+
+
+def count_fleet(placed_engines):
+    counts = [0] * PROFILE.layer_count
+    for placed in placed_engines:
+        for layer in range(placed.layers.first, placed.layers.last + 1):
+            counts[layer] += 1
+    return counts
+
+
+@pytest.mark.parametrize("case", GAPS)
+def test_layers_that_no_engine_holds_are_loaded_by_others(case):
+    # Layers that no engine in any data centre held were never loaded again.
+    placed_engines = make_gap(case)
+    assert 0 in count_fleet(placed_engines)
+    moved = apply_moves(placed_engines, find_moves(PROFILE, placed_engines))
+    assert min(count_fleet(moved)) >= 1
+    assert find_moves(PROFILE, moved) == {}
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("abc"),
+            st.sampled_from(sorted(PROFILE.kinds)),
+            st.integers(0, 79),
+            st.booleans(),
+        ),
+        min_size=1,
+        max_size=20,
+    )
+)
+def test_any_fleet_that_can_hold_the_model_comes_to_hold_it(engines):
+    placed_engines = []
+    for number, (center, kind, first, movable) in enumerate(engines):
+        size = count_fitting_layers(PROFILE, kind)
+        first = min(first, PROFILE.layer_count - size)
+        layers = LayerRange(first, first + size - 1)
+        placed_engines.append(PlacedEngine(f"e{number}", center, kind, layers, movable))
+    moves = find_moves(PROFILE, placed_engines)
+    assert all(placed.movable for placed in placed_engines if placed.name in moves)
+    moved = apply_moves(placed_engines, moves)
+    after = count_fleet(moved)
+    assert after.count(0) <= count_fleet(placed_engines).count(0)
+    capacity = sum(len(placed.layers) for placed in placed_engines if placed.movable)
+    fixed = count_fleet([each for each in placed_engines if not each.movable])
+    if capacity >= PROFILE.layer_count + fixed.count(0):
+        assert min(after) >= 1
+
+
 def test_small_data_center_is_left_alone():
     placed_engines = [PlacedEngine("x", "a", "slow", LayerRange(0, 8), movable=True)]
     assert find_moves(PROFILE, placed_engines) == {}
