Let a planner plan for as few engines as there are

Cause: a new planner waited for MIN_ENGINES = 4 registered engines before anything else, without a limit in time.

Change: engines are enough once they can hold the model by their kinds' memory, and the wait for further ones ends MAX_SETTLE_PERIOD after the first one in any case.

Failing first: the five cases of test_planner_that_begins_with_few_engines_plans.

--- a/src/tarragonrudder/core/placement/layer_assignment.py
+++ b/src/tarragonrudder/core/placement/layer_assignment.py
@@ -56,6 +56,12 @@
     return min(profile.layer_count, int(accelerator.memory / each))
 
 
+def can_hold_model(profile: EngineProfile, kinds: t.Iterable[str]) -> bool:
+    """Tell whether engines of some kinds can together hold all layers."""
+    layers = sum(count_fitting_layers(profile, kind) for kind in kinds)
+    return layers >= profile.layer_count
+
+
 def assign_layers(
     profile: EngineProfile,
     placed_engines: t.Iterable[PlacedEngine],
--- a/src/tarragonrudder/core/placement/loading.py
+++ b/src/tarragonrudder/core/placement/loading.py
@@ -10,15 +10,16 @@
     EmptyEngine,
     PlacedEngine,
     assign_layers,
+    can_hold_model,
     find_moves,
 )
 
 # Seconds without a new engine after which the first plan is made. A plan over all
 # engines at once gives paths with fewer hops.
 SETTLE_PERIOD = 0.7
-# Seconds after which it is made at the latest, as traffic is about to start.
+# Seconds after which it is made at the latest, as traffic is about to start. Engines
+# that can't hold the model yet wait for others no longer than that.
 MAX_SETTLE_PERIOD = 3.0
-MIN_ENGINES = 4  # fewer can't hold a model, and more are about to register
 RETRY_PERIOD = 1.0  # seconds before an order that was not accepted is repeated
 # Seconds, beside the load time, after which an order counts as lost: it may still
 # be carried out seconds after its answer was lost.
@@ -55,8 +56,8 @@
 
     def __init__(self) -> None:
         self._pending: dict[str, _Pending] = {}
-        self._seen: set[str] = set()
-        self._enough_engines_at: float | None = None
+        self._known: set[str] = set()
+        self._first_engine_at: float | None = None
         self._last_new_engine_at = 0.0
         self._moves_wanted_since: float | None = None
 
@@ -86,7 +87,7 @@
             # An entry of layers that the model doesn't have is no engine's of it.
             if layers is None or profile.has_layers(layers):
                 engines.append(registration)
-        if not self._is_settled(engines, now):
+        if not self._is_settled(profile, engines, now):
             return []
         placed_engines, empty_engines = self._classify(engines, culprits, now)
         chosen = assign_layers(profile, placed_engines, empty_engines)
@@ -132,20 +133,25 @@
             self._moves_wanted_since = now
         return moves if now - self._moves_wanted_since >= MOVE_DELAY else {}
 
-    def _is_settled(self, engines: t.Sequence[Registration], now: float) -> bool:
-        for engine in engines:
-            if engine.name not in self._seen:
-                self._seen.add(engine.name)
-                self._last_new_engine_at = now
-        if len(engines) >= MIN_ENGINES and self._enough_engines_at is None:
-            self._enough_engines_at = now
-        if self._enough_engines_at is None:
+    def _is_settled(
+        self, profile: EngineProfile, engines: t.Sequence[Registration], now: float
+    ) -> bool:
+        """Tell whether no further engine is worth waiting for."""
+        names = {engine.name for engine in engines}
+        if names - self._known:
+            self._last_new_engine_at = now
+        self._known = names
+        if not engines:
             return False
-        if any(engine.layers is not None for engine in engines):
+        if self._first_engine_at is None:
+            self._first_engine_at = now
+        if now - self._first_engine_at >= MAX_SETTLE_PERIOD:
             return True
-        if now - self._last_new_engine_at >= SETTLE_PERIOD:
+        if not can_hold_model(profile, [engine.kind for engine in engines]):
+            return False
+        if any(engine.layers is not None for engine in engines):
             return True
-        return now - self._enough_engines_at >= MAX_SETTLE_PERIOD
+        return now - self._last_new_engine_at >= SETTLE_PERIOD
 
     def _classify(
         self, engines: t.Sequence[Registration], culprits: t.Container[str], now: float
--- a/tests/forwarding/test_loading.py
+++ b/tests/forwarding/test_loading.py
@@ -37,6 +37,43 @@
     assert len(plan(loading, make_fleet(20), 1.3)) == 20
 
 
+FEW = {
+    # Layers of each engine of a kind that holds 27; seconds until there is a plan.
+    "restarted engine beside others": ([(27, 53), (53, 79), None], 0.0),
+    "just enough, all empty": ([None, None, None], 1.0),
+    "too few for the model, all empty": ([None, None], 3.2),
+    "too few for the model": ([(0, 26), None], 3.2),
+    "a single one": ([None], 3.2),
+}
+
+
+@pytest.mark.parametrize("case", FEW)
+def test_planner_that_begins_with_few_engines_plans(case):
+    # It waited for a fourth engine without end, while all requests were refused.
+    held, planned_at = FEW[case]
+    engines = []
+    for number, layers in enumerate(held):
+        first, last = layers or (None, None)
+        engines.append(make_engine(f"e{number}", first, last, "a", "fast"))
+    loading = LoadingScheduler()
+    orders = []
+    now = 0.0
+    while not orders and now <= planned_at:
+        orders = plan(loading, engines, now)
+        now += 0.1
+    empty = [engine.name for engine in engines if engine.layers is None]
+    assert [order.upstream for order in orders] == empty
+    covered = {layer for order in orders for layer in range(*order_range(order))}
+    for engine in engines:
+        if engine.layers is not None:
+            covered.update(range(engine.layers.first, engine.layers.last + 1))
+    assert len(covered) >= min(80, 27 * len(engines) - 1)
+
+
+def order_range(order):
+    return order.layers.first, order.layers.last + 1
+
+
 def test_an_order_is_given_once_while_it_is_carried_out():
     loading = LoadingScheduler()
     fleet = make_fleet()
