Refuse all keys once the last one is taken away

Cause: that requests need a key was taken from whether any key is left.

Change: it is taken from whether the configuration lists client accounts at all; an empty list no longer turns the check off.

Failing first: three cases of test_keys_are_needed_wherever_client_accounts_are_listed and three of test_no_key_is_good_once_the_last_one_is_taken_away. Ruled out: the adoption of the version (the nodes answered by it, and had let go of the account).

--- a/src/tarragonrudder/core/domain/route.py
+++ b/src/tarragonrudder/core/domain/route.py
@@ -148,8 +148,14 @@
 
     Parameters
     ----------
-    accounts : mapping of str to Account
-        Accounts by API key; empty if requests need none.
+    accounts : mapping of str to Account, or None
+        Accounts by API key; None if requests need no key. Without any account, no
+        key is good.
+
+    Attributes
+    ----------
+    needs_key : bool
+        Whether requests need an API key.
     """
 
     def __init__(
@@ -157,14 +163,15 @@
         version: int,
         routes: t.Iterable[Route],
         services: t.Iterable[ServiceSpec],
-        accounts: t.Mapping[str, Account],
+        accounts: t.Mapping[str, Account] | None,
         limits: CallerLimits,
     ) -> None:
         self.version = version
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
         self.limits = limits
-        self._accounts = dict(accounts)
+        self.needs_key = accounts is not None
+        self._accounts = dict(accounts or {})
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
@@ -182,11 +189,6 @@
             end = path.rfind("/", 0, end)
         return None
 
-    @property
-    def needs_key(self) -> bool:
-        """Whether requests need an API key."""
-        return bool(self._accounts)
-
     def find_account(self, key: str | None) -> Account | None:
         """Return the account that an API key belongs to, or None."""
         return self._accounts.get(key) if key is not None else None
--- a/src/tarragonrudder/platform/decoding.py
+++ b/src/tarragonrudder/platform/decoding.py
@@ -163,12 +163,13 @@
     for tenant in document.tenants:
         for key in tenant.keys:
             accounts[key] = Account(tenant.name, tenant.priority)
+    has_accounts = "tenants" in document.model_fields_set
     limits = document.limits
     return RouteTable(
         document.version,
         [_make_route(route) for route in document.routes],
         [_make_service(service) for service in document.services],
-        accounts,
+        accounts if has_accounts else None,
         CallerLimits(
             limits.header_bytes,
             limits.body_bytes,
--- a/tests/forwarding/test_decoding.py
+++ b/tests/forwarding/test_decoding.py
@@ -55,6 +55,28 @@
     assert table.services["plain"].engine is None
 
 
+TENANT = {"name": "hule", "api-keys": ["key-1"]}
+
+
+@pytest.mark.parametrize(
+    ("tenants", "needs_key"),
+    [
+        (None, False),
+        ([TENANT], True),
+        ([{"name": "hule", "api-keys": []}], True),
+        ([{"name": "hule"}], True),
+        ([], True),
+    ],
+)
+def test_keys_are_needed_wherever_client_accounts_are_listed(tenants, needs_key):
+    # With the last key taken away, requests with any key or none were good.
+    configuration = make_configuration(tenants=tenants)
+    if tenants is None:
+        del configuration["tenants"]
+    table = decode_configuration(orjson.dumps(configuration))
+    assert table.needs_key is needs_key
+
+
 @pytest.mark.parametrize("target", [None, 0, -5])
 def test_route_without_a_gap_target_has_the_usual_one(target):
     # A target of 0 made each pause a stall of infinite length.
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -281,6 +281,24 @@
     assert (before.status, after.status) == (200, 401)
 
 
+@pytest.mark.parametrize(
+    "tenants", [[{"name": "hule", "api-keys": []}], [{"name": "hule"}], []]
+)
+async def test_no_key_is_good_once_the_last_one_is_taken_away(tenants):
+    # Every key was, also one that no configuration ever had.
+    async with open_site() as site:
+        (upstream, _) = make_plain()
+        await site.add(upstream)
+        node = await site.add_node()
+        assert (await node.ask("/record/1", key="key-1")).status == 200
+        site.store.put("op/config", make_configuration(3, tenants=tenants))
+        await wait_for(lambda: node.daemon.state.version == 3, CONFIGURATION_BOUND)
+        for key in ("key-1", "never-held", ""):
+            answer = await node.ask("/record/1", key=key)
+            assert (answer.status, answer.whole) == (401, True)
+        assert len(upstream.arrivals) == 1
+
+
 @pytest.mark.parametrize(
     "text",
     [b"not JSON", b"{}", b'{"version": "x"}', b'{"version": 9, "routes": [{}]}'],
