Refuse an unknown key also on routes that need none

A request with a key that was taken away, or that no configuration ever had, ran on a route that accepts requests without a key, as if it had none.

Change: a key that is given must be an account's wherever accounts are listed; without a key such routes are as before. The refusal names which of both it is.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -175,8 +175,11 @@
         if route is None:
             return NotFound("no route for this host and path")
         account = table.find_account(request.api_key)
-        if account is None and table.needs_key and not route.anonymous:
-            return Unauthorized("the API key is missing or unknown")
+        if account is None and table.needs_key:
+            if request.api_key:
+                return Unauthorized("the API key is unknown")
+            if not route.anonymous:
+                return Unauthorized("the API key is missing")
         blocked = self.refuse_blocked(request, False, request.arrived)
         if blocked is not None:
             return blocked
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -14,7 +14,12 @@
 )
 from tarragonrudder.platform.metadata_store import MetadataStore, Position
 from tarragonrudder.platform.peer_gossip import ROUND_PERIOD
-from tests.site.site import make_configuration, open_site, send_request
+from tests.site.site import (
+    make_configuration,
+    make_route,
+    open_site,
+    send_request,
+)
 from tests.site.upstream import Behavior, UpstreamStandIn
 from tests.soak.proxy import Cut
 
@@ -299,6 +304,18 @@
         assert len(upstream.arrivals) == 1
 
 
+@pytest.mark.parametrize(
+    ("key", "status"), [("key-1", 200), ("", 200), ("never-held", 401)]
+)
+async def test_unknown_key_is_refused_on_an_anonymous_route(key, status):
+    # It ran as if it had none, also with a key that had been taken away.
+    route = make_route("open", "idempotent", "plain", **{"allow-anonymous": True})
+    async with open_site(make_configuration(routes=[route])) as site:
+        await site.add(*make_plain())
+        node = await site.add_node()
+        assert (await node.ask("/open/1", key=key)).status == status
+
+
 @pytest.mark.parametrize(
     "text",
     [b"not JSON", b"{}", b'{"version": "x"}', b'{"version": 9, "routes": [{}]}'],
