Plan the engines of each service by itself

Cause: one scheduler for all services noted since when a move has been wanted, and each service that wants none set it back before MOVE_DELAY was over. It also took the engines of one service for those of another when it waited for the fleet to settle.

Change: the planner keeps a scheduler for each service.

--- a/src/tarragonrudder/core/placement/loading.py
+++ b/src/tarragonrudder/core/placement/loading.py
@@ -52,9 +52,13 @@
 
 
 class LoadingScheduler:
-    """Tracks the orders of this planner and decides which come next."""
+    """Tracks a planner's orders to the engines of one service; decides which are next.
 
-    def __init__(self) -> None:
+    Services don't share a scheduler, as what one of them lacks says nothing of others.
+    """
+
+    def __init__(self, service: str) -> None:
+        self._service = service
         self._pending: dict[str, _Pending] = {}
         self._known: set[str] = set()
         self._first_engine_at: float | None = None
@@ -63,13 +67,12 @@
 
     def plan(
         self,
-        service: str,
         profile: EngineProfile,
         registrations: t.Sequence[Registration],
         culprits: t.Container[str],
         now: float,
     ) -> list[Order]:
-        """Return orders for the engines of a service.
+        """Return the orders to give now.
 
         Parameters
         ----------
@@ -80,7 +83,7 @@
         for registration in registrations:
             layers = registration.layers
             if (
-                registration.service != service
+                registration.service != self._service
                 or registration.kind not in profile.kinds
             ):
                 continue
--- a/src/tarragonrudder/platform/loading_planner.py
+++ b/src/tarragonrudder/platform/loading_planner.py
@@ -51,7 +51,7 @@
         self._upstreams = upstreams
         self._log = log
         self._random = source
-        self._scheduler = LoadingScheduler()
+        self._schedulers: dict[str, LoadingScheduler] = {}
         self._fencing_token = 0
         self._lease: Lease | None = None
         self._lease_expires_at = 0.0
@@ -109,7 +109,7 @@
         self._lease = lease
         self._fencing_token = compute_fencing_token(position)
         self._lease_expires_at = started_at + LEASE_TTL
-        self._scheduler = LoadingScheduler()
+        self._schedulers = {}
         self._log("planner_won", None, fence=self._fencing_token)
 
     async def _run_planning(self, tasks: BackgroundTasks) -> None:
@@ -124,8 +124,8 @@
             for service in self._state.route_table.services.values():
                 if service.engine is None:
                     continue
-                orders = self._scheduler.plan(
-                    service.name,
+                scheduler = self._find_scheduler(service.name)
+                orders = scheduler.plan(
                     service.engine,
                     list(self._state.upstream_table),
                     {
@@ -135,21 +135,27 @@
                     now,
                 )
                 for order in orders:
-                    tasks.start_soon(self._send_order, order)
+                    tasks.start_soon(self._send_order, order, scheduler)
 
-    async def _send_order(self, order: Order) -> None:
+    def _find_scheduler(self, service: str) -> LoadingScheduler:
+        scheduler = self._schedulers.get(service)
+        if scheduler is None:
+            scheduler = self._schedulers[service] = LoadingScheduler(service)
+        return scheduler
+
+    async def _send_order(self, order: Order, scheduler: LoadingScheduler) -> None:
         upstream = self._state.upstream_table.find(order.upstream)
         if upstream is None:
             return
         now = trio.current_time()
         if self._state.upstream_gate.is_resting(order.upstream, now):
-            self._scheduler.record_outcome(order, "refused", now)
+            scheduler.record_outcome(order, "refused", now)
             return
         self._state.upstream_gate.take((upstream.name,), now)
         outcome = await self._upstreams.order_placement(
             upstream, order.layers, self._fencing_token
         )
-        self._scheduler.record_outcome(order, outcome, trio.current_time())
+        scheduler.record_outcome(order, outcome, trio.current_time())
         if outcome == "fenced":
             # Another node holds a newer lease and has sent orders since.
             self._lease_expires_at = 0.0
--- a/tests/forwarding/test_loading.py
+++ b/tests/forwarding/test_loading.py
@@ -11,7 +11,7 @@
 
 
 def plan(loading, engines, now, culprits=()):
-    return loading.plan("engines", PROFILE, engines, culprits, now)
+    return loading.plan(PROFILE, engines, culprits, now)
 
 
 def hold(engines, orders):
@@ -30,7 +30,7 @@
 
 
 def test_first_plan_waits_until_the_fleet_has_settled():
-    loading = LoadingScheduler()
+    loading = LoadingScheduler("engines")
     assert plan(loading, make_fleet(5), 0.0) == []
     assert plan(loading, make_fleet(20), 0.5) == []
     assert plan(loading, make_fleet(20), 1.0) == []
@@ -55,7 +55,7 @@
     for number, layers in enumerate(held):
         first, last = layers or (None, None)
         engines.append(make_engine(f"e{number}", first, last, "a", "fast"))
-    loading = LoadingScheduler()
+    loading = LoadingScheduler("engines")
     orders = []
     now = 0.0
     while not orders and now <= planned_at:
@@ -75,7 +75,7 @@
 
 
 def test_an_order_is_given_once_while_it_is_carried_out():
-    loading = LoadingScheduler()
+    loading = LoadingScheduler("engines")
     fleet = make_fleet()
     orders = settle(loading, fleet)
     assert plan(loading, fleet, 1.2) == []
@@ -87,7 +87,7 @@
     [("lost", 2.5, 0), ("lost", 20.0, 20), ("conflict", 2.5, 20), ("begun", 2.5, 0)],
 )
 def test_order_that_led_to_nothing_is_given_again(outcome, planned_at, count):
-    loading = LoadingScheduler()
+    loading = LoadingScheduler("engines")
     fleet = make_fleet()
     for order in settle(loading, fleet):
         loading.record_outcome(order, outcome, 1.0)
@@ -95,7 +95,7 @@
 
 
 def test_restart_under_the_same_id_is_loaded_again():
-    loading = LoadingScheduler()
+    loading = LoadingScheduler("engines")
     fleet = make_fleet()
     held = hold(fleet, settle(loading, fleet))
     held[3] = make_engine("e3", None, None, "a", "small", born=9)
@@ -105,7 +105,7 @@
 @pytest.mark.parametrize("how", ["gone", "draining", "culprit"])
 def test_a_spare_takes_over_what_is_lost(how):
     # Load pattern: an engine is lost while all traffic goes on.
-    loading = LoadingScheduler()
+    loading = LoadingScheduler("engines")
     fleet = make_fleet()
     held = hold(fleet, settle(loading, fleet))
     counts = [0] * 80
