Refuse peers' messages and entries with values that can't be used

Usage, limits, ages and versions of a message were taken as text, below zero or as no finite number, and a foreign key below the nodes' prefix counted as a node.

Change: messages are decoded into PeerState by validated models and used only as a whole; nodes' entries are decoded once, when they are read.

--- a/src/tarragonrudder/platform/decoding.py
+++ b/src/tarragonrudder/platform/decoding.py
@@ -149,6 +149,15 @@
     born: Count = 0
 
 
+class _NodeEntry(_EntryPart):
+    address: Address
+
+
+def decode_node_entry(text: bytes) -> str:
+    """Return the address of a node from its store entry; raises DocumentError."""
+    return _validate(_NodeEntry, text).address
+
+
 def decode_configuration(text: bytes) -> RouteTable:
     """Decode the operator's configuration from JSON.
 
--- a/src/tarragonrudder/platform/loading_planner.py
+++ b/src/tarragonrudder/platform/loading_planner.py
@@ -94,10 +94,7 @@
                 self._lease_expires_at = 0.0
                 self._log("planner_lost", None, fence=self._fencing_token)
             return
-        if (
-            not self._registry.has_snapshot
-            or protocol.PLANNER_KEY in self._registry.router_items
-        ):
+        if not self._registry.has_snapshot or self._registry.has_planner:
             return
         lease = await self._store.grant_lease(LEASE_TTL)
         position = await self._store.write(
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -1,25 +1,16 @@
 """Gossip between nodes: load, crashes, culprits, configuration, upstreams."""
 
-import base64
 import math
 import random
 import typing as t
 
 import httpx
-import orjson
 import trio
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from tarragonrudder.core.domain.forwarded_request import Trait
-from tarragonrudder.core.forwarding.crash_tracker import (
-    MAX_SHARED_RECORDS,
-    CrashReport,
-)
 from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import ForwardingState
-from tarragonrudder.core.forwarding.upstream_limits import MAX_REPORTS, LimitReport
-from tarragonrudder.core.forwarding.usage_tracker import Usage
 from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.platform.http_client import (
     WholeResponse,
@@ -27,13 +18,15 @@
     make_client,
 )
 from tarragonrudder.platform.metadata_store import Position
-from tarragonrudder.platform.registry import Registry
-from tarragonrudder.platform.store_view import (
-    decode_position,
-    decode_view,
-    encode_position,
-    encode_view,
+from tarragonrudder.platform.peer_message import (
+    PeerMessageError,
+    PeerState,
+    decode_entries,
+    decode_state,
+    encode_entries,
+    encode_state,
 )
+from tarragonrudder.platform.registry import Registry
 
 # Seconds between gossip rounds. Load changes within about a second, the duration of
 # one stream; newer configurations are announced at once.
@@ -47,6 +40,7 @@
 EXCHANGE_TIMEOUT = 0.4  # seconds; peers in a region respond within milliseconds
 MAX_RESPONSE_BYTES = 16 << 20  # thousands of upstreams, each with its whole entry
 MAX_KNOWN_PEERS = 4096
+MAX_REASON = 500  # characters of a message's fault that are logged
 HEARD_PERIOD = 2.0  # seconds; some rounds
 PATH_PREFIX = "/tarragonrudder/peer"
 
@@ -133,13 +127,12 @@
         @app.post(f"{PATH_PREFIX}/state")
         async def exchange_state() -> Response:
             try:
-                message = orjson.loads(await request.get_data())
-                self._merge_state(message)
-                position = decode_position(message.get("position"))
-            except (ValueError, TypeError) as error:
-                self._log("peer_invalid", None, reason=repr(error))
+                message = decode_state(await request.get_data())
+            except PeerMessageError as error:
+                self._log("peer_invalid", None, reason=str(error)[:MAX_REASON])
                 return Response(b"invalid state\n", 400)
-            content = self._encode_state(position)
+            self._merge_state(message)
+            content = encode_state(self._describe_state(message.position))
             return Response(content, content_type="application/json")
 
         @app.get(f"{PATH_PREFIX}/configuration")
@@ -148,20 +141,12 @@
 
         @app.get(f"{PATH_PREFIX}/upstreams")
         async def send_upstreams() -> Response:
-            entries = {}
-            for name, value in self._registry.upstream_entries.values.items():
-                entries[name] = base64.b64encode(value).decode()
-            return Response(orjson.dumps(entries), content_type="application/json")
+            content = encode_entries(self._registry.upstream_entries.values)
+            return Response(content, content_type="application/json")
 
     def list_peer_addresses(self) -> list[str]:
         """Return the addresses of other nodes that are presumed alive."""
-        found = set(self._seeds)
-        for item in self._registry.router_items.values():
-            if item.value is not None and b"address" in item.value:
-                try:
-                    found.add(str(orjson.loads(item.value)["address"]))
-                except (ValueError, KeyError, TypeError):
-                    continue
+        found = {*self._seeds, *self._registry.node_addresses.values()}
         if self._registry.is_store_unavailable:
             found.update(self._known_addresses)
         found.discard(self._address)
@@ -210,39 +195,35 @@
         asked_at = trio.current_time()
         try:
             response = await self._call(
-                "POST", address, "state", content=self._encode_state()
+                "POST", address, "state", content=encode_state(self._describe_state())
             )
-            message = orjson.loads(response.content)
+            message = decode_state(response.content)
             self._merge_state(message)
             self._known_addresses.add(address)
-            if message["version"] > self._state.version:
+            if message.version > self._state.version:
                 found = await self._call("GET", address, "configuration")
                 if found.status_code == 200 and found.content:
                     self._registry.adopt(found.content, "peer")
-            view = decode_view(message.get("view"))
+            view = message.view
             if view is not None and self._registry.apply_view(view, asked_at):
                 self.views_applied += 1
             self._answered += 1
             self._answered_at = trio.current_time()
             # Entries of a peer that has lost the store, too, are better than none.
             known = self._registry.upstream_entries.values
-            useful = not message["away"] or not known
-            if view is not None or self._registry.is_ahead_of(
-                decode_position(message.get("position"))
-            ):
+            useful = not message.is_store_away or not known
+            if view is not None or self._registry.is_ahead_of(message.position):
                 useful = False
             if self._registry.is_store_unavailable and useful:
                 await self._fetch_upstreams(address)
-        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+        except (httpx.HTTPError, PeerMessageError) as error:
             if address in self._known_addresses:
                 self._known_addresses.remove(address)
                 self._log("peer_lost", None, peer=address, reason=repr(error))
 
     async def _fetch_upstreams(self, address: str) -> None:
         response = await self._call("GET", address, "upstreams")
-        entries = {}
-        for name, value in orjson.loads(response.content).items():
-            entries[name] = base64.b64decode(value)
+        entries = decode_entries(response.content)
         if entries:
             self._registry.replace_upstreams(entries)
 
@@ -254,112 +235,36 @@
             self._client, method, url, EXCHANGE_TIMEOUT, MAX_RESPONSE_BYTES, **options
         )
 
-    def _encode_state(self, peer_position: Position | None = None) -> bytes:
-        """Encode what this node knows, with the changes that a peer lacks."""
-        usage = {}
-        for name, each in self._state.usage_tracker.snapshot_local().items():
-            usage[name] = (each.requests, each.tokens)
+    def _describe_state(self, peer_position: Position | None = None) -> PeerState:
+        """Return what this node knows, with the changes that a peer lacks."""
         now = trio.current_time()
-        own = self._describe()
-        return orjson.dumps(
-            {
-                "node": self._name,
-                "address": self._address,
-                "version": self._state.version,
-                "away": self._registry.is_store_unavailable,
-                "usage": usage,
-                "crashes": {},  # required by nodes that don't know crash_reports
-                "crash_reports": _encode_crash_reports(
-                    self._state.list_crash_reports(now)
-                ),
-                "culprits": self._state.list_culprits(now),
-                "relay": {
-                    "address": own.address,
-                    "data_center": own.data_center,
-                    "active": own.active,
-                    "available": own.is_available,
-                },
-                "limits": _encode_limits(self._state.limits.snapshot(now)),
-                "position": encode_position(self._registry.position),
-                "view": encode_view(self._registry.describe_view(peer_position)),
-            }
+        return PeerState(
+            node=self._name,
+            address=self._address,
+            version=self._state.version,
+            is_store_away=self._registry.is_store_unavailable,
+            usage=self._state.usage_tracker.snapshot_local(),
+            crash_reports=self._state.list_crash_reports(now),
+            culprits=self._state.list_culprits(now),
+            report=self._describe(),
+            limits=self._state.limits.snapshot(now),
+            position=self._registry.position,
+            view=self._registry.describe_view(peer_position),
         )
 
-    def _merge_state(self, message: t.Any) -> None:
-        """Merge another node's state; raises ValueError if the message is invalid."""
+    def _merge_state(self, message: PeerState) -> None:
+        """Merge another node's state."""
         now = trio.current_time()
-        try:
-            node = str(message["node"])
-            usage = {}
-            for name, (requests, tokens) in message["usage"].items():
-                usage[str(name)] = Usage(int(requests), int(tokens))
-            crash_reports = _decode_crash_reports(message.get("crash_reports", []))
-            report = _decode_report(message.get("relay"))
-            limits = _decode_limits(message.get("limits", []))
-            culprits = {str(k): float(v) for k, v in message["culprits"].items()}
-            address = str(message["address"])
-        except (KeyError, TypeError, AttributeError) as error:
-            raise ValueError(f"invalid message from a peer: {error!r}") from error
+        node = message.node
         if len(self._heard_at) < MAX_KNOWN_PEERS:
             self._heard_at[node] = now
         if len(self._known_addresses) < MAX_KNOWN_PEERS:
-            self._known_addresses.add(address)
-        self._state.usage_tracker.set_peer(node, usage, now)
-        self._state.merge_crash_reports(crash_reports, now)
-        if report is not None:
-            self._state.peer_table.update(node, report, now)
-        self._state.merge_limits(node, limits, now)
-        for name, remaining in culprits.items():
+            self._known_addresses.add(message.address)
+        self._state.usage_tracker.set_peer(node, message.usage, now)
+        self._state.merge_crash_reports(message.crash_reports, now)
+        if message.report is not None:
+            self._state.peer_table.update(node, message.report, now)
+        self._state.merge_limits(node, message.limits, now)
+        for name, remaining in message.culprits.items():
             if self._state.merge_culprit(name, remaining, now):
                 self._on_culprit(name)
-
-
-def _encode_crash_reports(reports: t.Mapping[Trait, CrashReport]) -> list[t.Any]:
-    rows = []
-    for trait, report in reports.items():
-        ages = {name: round(age, 3) for name, age in report.crash_ages.items()}
-        rows.append([trait.kind, trait.key, round(report.sound_age, 3), ages])
-    return rows
-
-
-def _decode_crash_reports(rows: t.Any) -> dict[Trait, CrashReport]:
-    """Decode a peer's reports; raises TypeError or ValueError if they are invalid."""
-    reports = {}
-    for kind, key, sound_age, ages in rows[:MAX_SHARED_RECORDS]:
-        if kind not in ("request", "part"):
-            continue  # of a newer version
-        crash_ages = {str(name): float(age) for name, age in ages.items()}
-        reports[Trait(kind, str(key))] = CrashReport(float(sound_age), crash_ages)
-    return reports
-
-
-def _decode_report(fields: t.Any) -> PeerReport | None:
-    """Decode a peer's report on itself; None from an older version."""
-    if fields is None:
-        return None
-    return PeerReport(
-        str(fields["address"]),
-        str(fields["data_center"]),
-        int(fields["active"]),
-        bool(fields["available"]),
-    )
-
-
-def _encode_limits(reports: t.Mapping[str, LimitReport]) -> list[t.Any]:
-    rows = []
-    for upstream, report in reports.items():
-        rows.append(
-            [upstream, report.limit, round(report.age, 3), round(report.rate, 2)]
-        )
-    return rows
-
-
-def _decode_limits(rows: t.Any) -> dict[str, LimitReport]:
-    """Decode a peer's reports; raises TypeError or ValueError if they are invalid."""
-    reports = {}
-    for upstream, limit, age, rate in rows[:MAX_REPORTS]:
-        value = None if limit is None else max(0.0, float(limit))
-        reports[str(upstream)] = LimitReport(
-            value, max(0.0, float(age)), max(0.0, float(rate))
-        )
-    return reports
--- a/src/tarragonrudder/platform/registry.py
+++ b/src/tarragonrudder/platform/registry.py
@@ -11,7 +11,11 @@
 from tarragonrudder.core.membership.read_schedule import ReadSchedule
 from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.platform import protocol
-from tarragonrudder.platform.decoding import DocumentError, decode_configuration
+from tarragonrudder.platform.decoding import (
+    DocumentError,
+    decode_configuration,
+    decode_node_entry,
+)
 from tarragonrudder.platform.metadata_store import (
     Changes,
     HistoryLost,
@@ -57,8 +61,10 @@
         Configuration in force, as it was received; empty without one.
     upstream_entries : UpstreamEntries
         Entries of the upstreams.
-    router_items : dict of str to Item
-        Items that the router's nodes wrote, by key.
+    node_addresses : dict of str to str
+        Addresses of the registered nodes by their names.
+    has_planner : bool
+        Whether a node holds the planner's lease.
     has_snapshot : bool
         Whether all keys have been listed from the store at least once.
     has_asked_peers : bool
@@ -101,7 +107,8 @@
         self.has_asked_peers = False
         self.upstream_entries = UpstreamEntries(state.upstream_table, log)
         self.configuration_text: bytes = b""
-        self.router_items: dict[str, Item] = {}
+        self.node_addresses: dict[str, str] = {}
+        self.has_planner = False
         self.has_snapshot = False
         self.on_adopted: t.Callable[[], None] = lambda: None
         self.hears_peers: t.Callable[[], bool] = lambda: False
@@ -130,17 +137,12 @@
     @property
     def node_count(self) -> int:
         """Number of registered nodes, at least 1; may not include this one yet."""
-        has_planner = protocol.PLANNER_KEY in self.router_items
-        return max(1, len(self.router_items) - has_planner)
+        return max(1, len(self.node_addresses))
 
     @property
     def node_names(self) -> list[str]:
         """Names of the registered nodes; may not include this one yet."""
-        found = []
-        for key in self.router_items:
-            if key.startswith(protocol.NODE_PREFIX):
-                found.append(key.removeprefix(protocol.NODE_PREFIX))
-        return found
+        return list(self.node_addresses)
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Start to watch the store."""
@@ -350,14 +352,15 @@
         self._end_outage()
         self._listed_epoch = epoch
         entries = []
-        self.router_items = {}
+        self.node_addresses = {}
+        self.has_planner = False
         for item in changes.items:
             if item.value is None:
                 continue
             if item.key.startswith(protocol.UPSTREAM_PREFIX):
                 entries.append(item)
             elif item.key.startswith(protocol.ROUTER_PREFIX):
-                self.router_items[item.key] = item
+                self._apply_router_item(item)
             elif item.key == protocol.CONFIGURATION_KEY:
                 self._apply_configuration(item)
         self.upstream_entries.apply_listing(entries, is_restored)
@@ -386,16 +389,28 @@
                     self._change_log.note(item)
             elif item.key.startswith(protocol.ROUTER_PREFIX):
                 self._change_log.note(item)
-                if item.value is None:
-                    self.router_items.pop(item.key, None)
-                else:
-                    self.router_items[item.key] = item
+                self._apply_router_item(item)
             elif item.key == protocol.CONFIGURATION_KEY and item.value is not None:
                 self._apply_configuration(item)
         if changes.position.revision > known.revision:
             self._position = changes.position
         self._current_at = max(self._current_at, read_at)
 
+    def _apply_router_item(self, item: Item) -> None:
+        """Apply what a node wrote, or what another writer put beside it."""
+        if item.key == protocol.PLANNER_KEY:
+            self.has_planner = item.value is not None
+        if not item.key.startswith(protocol.NODE_PREFIX):
+            return
+        name = item.key.removeprefix(protocol.NODE_PREFIX)
+        self.node_addresses.pop(name, None)
+        if item.value is None:
+            return
+        try:
+            self.node_addresses[name] = decode_node_entry(item.value)
+        except DocumentError as error:
+            self._log("node_entry_invalid", None, peer=name, reason=str(error))
+
     def _apply_configuration(self, item: Item) -> None:
         self._configuration_revision = item.revision
         text = item.value or b""
--- a/src/tarragonrudder/platform/store_view.py
+++ b/src/tarragonrudder/platform/store_view.py
@@ -5,12 +5,28 @@
 import typing as t
 from dataclasses import dataclass
 
+from pydantic import BaseModel, ConfigDict, Field, FiniteFloat, TypeAdapter
+
+from tarragonrudder.platform.decoding import Count
 from tarragonrudder.platform.metadata_store import Item, Position
 
 MAX_KEPT_CHANGES = 4096
 MAX_SENT_CHANGES = 512
 
 
+_Position: t.TypeAlias = t.Annotated[list[Count], Field(min_length=2, max_length=2)]
+_POSITION = TypeAdapter(_Position, config=ConfigDict(strict=True))
+
+
+class _View(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    position: _Position
+    age: FiniteFloat = Field(ge=0.0)
+    configuration: tuple[Count, str]
+    items: tuple[tuple[str, Count, str | None], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StoreView:
     """The changes between two positions of the store.
@@ -82,13 +98,13 @@
 
     Raises
     ------
-    TypeError, ValueError
+    ValueError
         If it is malformed.
     """
     if fields is None:
         return None
-    epoch, revision = fields
-    return Position(int(revision), int(epoch))
+    epoch, revision = _POSITION.validate_python(fields)
+    return Position(revision, epoch)
 
 
 def encode_view(view: StoreView | None) -> dict[str, t.Any] | None:
@@ -114,25 +130,21 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
+    ValueError
         If it is malformed.
     """
     if fields is None:
         return None
-    position = decode_position(fields["position"])
-    if position is None:
-        raise ValueError("a view without its position")
+    found = _View.model_validate(fields)
+    epoch, revision = found.position
     items = []
-    for key, revision, text in fields["items"]:
+    for key, item_revision, text in found.items:
         value = None
         if text is not None:
             try:
                 value = base64.b64decode(text, validate=True)
             except binascii.Error as error:
                 raise ValueError(f"the value of {key!r}: {error}") from error
-        items.append(Item(str(key), value, int(revision)))
-    revision, digest = fields["configuration"]
-    age = float(fields["age"])
-    if not age >= 0.0:
-        raise ValueError(f"a view of age {age}")
-    return StoreView(position, age, (int(revision), str(digest)), tuple(items))
+        items.append(Item(key, value, item_revision))
+    position = Position(revision, epoch)
+    return StoreView(position, found.age, found.configuration, tuple(items))
--- a/tests/site/test_store_views.py
+++ b/tests/site/test_store_views.py
@@ -113,7 +113,7 @@
 
 def describe(registry):
     upstreams = {each.name: each for each in registry._state.upstream_table}
-    return upstreams, set(registry.router_items), registry._state.version
+    return upstreams, set(registry.node_names), registry._state.version
 
 
 @pytest.mark.parametrize("seed", range(30))
