Treat a store's answer without its number as a failed call

An answer to a write or to a new lease that is whole but has no number where its revision or lease is due raised KeyError, TypeError or ValueError, which the planner's election and the node's registration don't expect: before that ended the process.

Change: it is a StoreError like any other unusable answer of the store.

--- a/src/tarragonrudder/platform/metadata_store.py
+++ b/src/tarragonrudder/platform/metadata_store.py
@@ -227,13 +227,13 @@
             raise StoreRefused("the lease has expired")
         if lease is not None:
             self._require_lease(lease)
-        return Position(int(_decode(response)["revision"]), self.epoch)
+        return Position(_decode_number(response, "revision"), self.epoch)
 
     async def grant_lease(self, ttl: float) -> Lease:
         """Create a lease of `ttl` seconds."""
         body = {"ttl-ms": int(ttl * 1000)}
         response = await self._call("POST", protocol.LEASE_GRANT_PATH, json=body)
-        return Lease(int(_decode(response)["lease"]), self.epoch)
+        return Lease(_decode_number(response, "lease"), self.epoch)
 
     async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease; return False if it has expired, or its epoch has ended."""
@@ -313,6 +313,13 @@
     return found
 
 
+def _decode_number(response: WholeResponse, name: str) -> int:
+    number = _decode(response).get(name)
+    if not isinstance(number, int):
+        raise StoreError(f"the response has no whole number {name!r}")
+    return number
+
+
 def _decode_epoch(value: bytes) -> int:
     text = value.strip()
     if not text.isdigit() or len(text) > MAX_EPOCH_DIGITS:
