Don't forward another answer's head as part of an event

Change: an event with a line that begins like a status line ends its attempt; no field of an event begins so. Ruled out as a fault: an event with a text of its own that its upstream has numbered is that upstream's to write.

--- a/src/tarragonrudder/core/forwarding/event_sequence.py
+++ b/src/tarragonrudder/core/forwarding/event_sequence.py
@@ -3,6 +3,7 @@
 SEPARATOR = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
 MAX_NUMBER_DIGITS = 18  # of an event's number; fits in 64 bits
+STATUS_LINE = b"HTTP/1."  # begins no field of an event, but the head of another answer
 
 
 class SequenceError(Exception):
@@ -74,9 +75,11 @@
         Raises
         ------
         SequenceError
-            If the event has no number, if its attempt has repeated it, or if one
-            before it is missing.
+            If the event has no number or holds another answer, if its attempt has
+            repeated it, or if one before it is missing.
         """
+        if event.startswith(STATUS_LINE) or b"\n" + STATUS_LINE in event:
+            raise SequenceError("an event holds the head of another answer")
         number = _read_number(event)
         if number is None:
             raise SequenceError("an event has no number")
--- a/tests/site/upstream.py
+++ b/tests/site/upstream.py
@@ -147,6 +147,8 @@
 
     Attributes
     ----------
+    resumed : Behavior or None
+        How it responds to streams that go on after an event, if otherwise.
     detour : trio.Event or None
         Where set, a stalled stream continues after an order for a new path.
     stalled : list
@@ -183,6 +185,7 @@
     events: int = 6
     gap: float = 0.005
     behavior: Behavior = field(default_factory=Behavior)
+    resumed: Behavior | None = None
     arrivals: list[Arrival] = field(default_factory=list)
     orders: list[dict[str, object]] = field(default_factory=list)
     stalled: list[dict[str, str]] = field(default_factory=list)
@@ -320,7 +323,10 @@
     async def _answer(
         self, stream: trio.SocketStream, connection: h11.Connection, arrival: Arrival
     ) -> bool:
-        how = arrival.behavior = self.behavior
+        how = self.behavior
+        if self.resumed is not None and b"last-event-id" in arrival.headers:
+            how = self.resumed
+        arrival.behavior = how
         arrival.spoiled = connection in self.spoiled
         if how.extra:
             self.spoiled.add(connection)
