Guard the tasks of the product's own nodes in the same way

The same two causes on the path of the product's own deployments: a node's entry with the address http://x:http or http://:1 was taken, and httpx.InvalidURL left the task that sends it a message, in the nursery of the whole node.

Change: such an entry is left out like other damaged ones; tasks that carry out the core's actions and those that read the platform log an unexpected error (task_failed) and end nothing else. An error of the core's own timers still ends the process, as a core whose clock has stopped would serve wrongly, and is logged before.

--- a/src/tarragonrudder/daemon.py
+++ b/src/tarragonrudder/daemon.py
@@ -84,6 +84,10 @@
             nursery.cancel_scope.cancel()
         await self.close()
 
+    def report_end(self, error: Exception) -> None:
+        """Log the unexpected error by which the process ends."""
+        self._logger.error("ended_by_error", extra={"reason": repr(error)})
+
     async def close(self) -> None:
         """Close all clients."""
         await self._driver.close()
@@ -157,7 +161,11 @@
     except (RouterError, OSError) as error:
         print(f"tarragonrudderd: {error}", file=sys.stderr)
         raise SystemExit(2) from error
-    trio.run(daemon.run)
+    try:
+        trio.run(daemon.run)
+    except Exception as error:
+        daemon.report_end(error)
+        raise
 
 
 if __name__ == "__main__":
--- a/src/tarragonrudder/edges/driver.py
+++ b/src/tarragonrudder/edges/driver.py
@@ -23,10 +23,12 @@
     Swapped,
 )
 from tarragonrudder.core.node.node import Node
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.clock import Clock
 from tarragonrudder.edges.engine import EngineClient
 from tarragonrudder.edges.exchange import ExchangeClient
 from tarragonrudder.edges.loader import ConfigurationLoader
+from tarragonrudder.edges.log_setup import make_failure_log
 from tarragonrudder.edges.order_client import OrderClient
 from tarragonrudder.edges.peer import PeerClient
 from tarragonrudder.edges.platform_client import (
@@ -80,11 +82,11 @@
         self._inputs: dict[str, ServiceInput] = {}
         self._attempts: dict[tuple[str, int], trio.CancelScope] = {}
         self._timers = Timers(clock, self._fire_timer)
-        self._nursery: trio.Nursery | None = None
+        self._tasks: BackgroundTasks | None = None
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start the core and execute its actions in a nursery."""
-        self._nursery = nursery
+        self._tasks = BackgroundTasks(nursery, make_failure_log(self._logger))
         nursery.start_soon(self._timers.run)
         self._execute_actions(self.node.start(self._clock.now()))
 
@@ -178,9 +180,9 @@
     def _spawn(
         self, function: t.Callable[..., t.Awaitable[None]], *args: t.Any
     ) -> None:
-        if self._nursery is None:
+        if self._tasks is None:
             raise RuntimeError("call start before the first event")
-        self._nursery.start_soon(function, *args)
+        self._tasks.start_soon(function, *args)
 
     def _send_output(self, request: str, output: Output) -> None:
         sender = self._outputs.get(request)
--- a/src/tarragonrudder/edges/log_setup.py
+++ b/src/tarragonrudder/edges/log_setup.py
@@ -9,6 +9,15 @@
 LOGGER_NAME = "tarragonrudder"
 
 
+def make_failure_log(logger: logging.Logger) -> t.Callable[..., None]:
+    """Return a function that logs failures of tasks as errors."""
+
+    def log(event: str, request: str | None, **fields: t.Any) -> None:
+        logger.error(event, extra={"request": request, **fields})
+
+    return log
+
+
 def configure_logger(
     node: str, level: str, stream: t.TextIO | None = None
 ) -> logging.Logger:
--- a/src/tarragonrudder/edges/sync.py
+++ b/src/tarragonrudder/edges/sync.py
@@ -25,14 +25,16 @@
 )
 from tarragonrudder.core.domain.platform_event import KeyRead
 from tarragonrudder.core.placement.planner import RECORD_KEY, RECORD_TAG
+from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.driver import Driver
+from tarragonrudder.edges.log_setup import make_failure_log
 from tarragonrudder.edges.platform_client import (
     KeyValue,
     PlatformClient,
     PlatformError,
     PlatformOutcomeUnknown,
 )
-from tarragonrudder.edges.settings import Settings
+from tarragonrudder.edges.settings import Settings, Url
 from tarragonrudder.edges.statsd_metrics import StatsdMetrics
 
 NODES_PREFIX = CONTROL_PREFIX + "nodes/"
@@ -50,7 +52,7 @@
 
     model_config = ConfigDict(extra="ignore", frozen=True)
 
-    address: str = Field(pattern="^https?://")
+    address: Url
     data_center: str = Field(min_length=1)
 
 
@@ -120,10 +122,11 @@
     async def run(self) -> None:
         """Run all background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._maintain_registration)
-            nursery.start_soon(self._run_watch)
-            nursery.start_soon(self._poll_vms)
-            nursery.start_soon(self._report_gauges)
+            tasks = BackgroundTasks(nursery, make_failure_log(self._logger))
+            tasks.keep_running(self._maintain_registration)
+            tasks.keep_running(self._run_watch)
+            tasks.keep_running(self._poll_vms)
+            tasks.keep_running(self._report_gauges)
 
     async def _maintain_registration(self) -> None:
         while True:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -73,7 +73,17 @@
 
 @pytest.mark.parametrize(
     "value",
-    [b"{", b"[]", b"{}", b'{"address": "ftp://x", "data_center": "x"}', b"\xff"],
+    [
+        b"{",
+        b"[]",
+        b"{}",
+        b'{"address": "ftp://x", "data_center": "x"}',
+        b'{"address": "http://x:http", "data_center": "x"}',
+        b'{"address": "http://x:99999", "data_center": "x"}',
+        b'{"address": "http://:1", "data_center": "x"}',
+        b'{"address": ' + b"[" * 100_000,
+        b"\xff",
+    ],
 )
 async def test_a_damaged_entry_is_left_out(value: bytes) -> None:
     client = FakePlatformClient(
