Keep faults of one service's plan, or of one node's configuration, from the others

Found by looking for the same causes elsewhere: a fault in planning one service ended the round of planning before the services behind it had their turn, and a node without a configuration that it can read took the planner's lease, renewed it and planned nothing, while the others left planning to it.

Change: each service is planned by itself, and a fault is logged (plan_failed); a node without a configuration takes no lease and gives up one that it has.

Failing first: test_fault_in_the_plan_of_one_service_leaves_others_their_own and test_node_without_a_configuration_leaves_planning_to_others.

--- a/src/tarragonrudder/core/placement/loading.py
+++ b/src/tarragonrudder/core/placement/loading.py
@@ -55,10 +55,15 @@
     """Tracks a planner's orders to the engines of one service; decides which are next.
 
     Services don't share a scheduler, as what one of them lacks says nothing of others.
+
+    Attributes
+    ----------
+    service : str
+        Name of the service.
     """
 
     def __init__(self, service: str) -> None:
-        self._service = service
+        self.service = service
         self._pending: dict[str, _Pending] = {}
         self._known: set[str] = set()
         self._first_engine_at: float | None = None
@@ -83,7 +88,7 @@
         for registration in registrations:
             layers = registration.layers
             if (
-                registration.service != self._service
+                registration.service != self.service
                 or registration.kind not in profile.kinds
             ):
                 continue
--- a/src/tarragonrudder/platform/loading_planner.py
+++ b/src/tarragonrudder/platform/loading_planner.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from tarragonrudder.core.domain.route import ServiceSpec
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.placement.loading import LoadingScheduler, Order
 from tarragonrudder.edges.background import BackgroundTasks
@@ -74,7 +75,7 @@
     async def _run_election(self) -> None:
         while True:
             try:
-                if self._state.reachability.is_cut:
+                if self._state.reachability.is_cut or self._state.route_table is None:
                     await self.release()
                 else:
                     await self._acquire_or_renew()
@@ -119,20 +120,27 @@
             ):
                 continue
             for service in self._state.route_table.services.values():
-                if service.engine is None:
-                    continue
-                scheduler = self._find_scheduler(service.name)
-                orders = scheduler.plan(
-                    service.engine,
-                    list(self._state.upstream_table),
-                    {
-                        *self._state.list_culprits(now),
-                        *self._state.upstream_table.list_leaving(),
-                    },
-                    now,
-                )
-                for order in orders:
-                    tasks.start_soon(self._send_order, order, scheduler)
+                self._plan_service(service, tasks, now)
+
+    def _plan_service(
+        self, service: ServiceSpec, tasks: BackgroundTasks, now: float
+    ) -> None:
+        """Give orders to the engines of one service."""
+        if service.engine is None:
+            return
+        scheduler = self._find_scheduler(service.name)
+        unusable = {
+            *self._state.list_culprits(now),
+            *self._state.upstream_table.list_leaving(),
+        }
+        upstreams = list(self._state.upstream_table)
+        try:
+            orders = scheduler.plan(service.engine, upstreams, unusable, now)
+        except Exception as error:  # the other services must still be planned
+            self._log("plan_failed", None, service=service.name, reason=repr(error))
+            return
+        for order in orders:
+            tasks.start_soon(self._send_order, order, scheduler)
 
     def _find_scheduler(self, service: str) -> LoadingScheduler:
         scheduler = self._schedulers.get(service)
