--- a/tests/site/test_background_tasks.py
+++ b/tests/site/test_background_tasks.py
@@ -24,7 +24,7 @@
     "entry": (UpstreamTable, "register", None),
     "configuration": (ForwardingState, "adopt", None),
     "expiry": (UpstreamTable, "expire", "_run_maintenance"),
-    "exchange": (PeerGossip, "_merge_state", "_exchange"),
+    "exchange": (PeerGossip, "_call", "_exchange"),
 }
 
 
