--- a/src/tarragonrudder/edges/background.py
+++ b/src/tarragonrudder/edges/background.py
@@ -2,15 +2,29 @@
 
 import traceback
 import typing as t
+from dataclasses import dataclass
 
 import trio
 
-from tarragonrudder.edges.job import LogFunction
-
 RESTART_PERIOD = 1.0  # seconds before a task that has failed is started again
 MAX_TRACE = 2000  # characters of a traceback that are logged, its last ones
 
 
+@dataclass(frozen=True, slots=True)
+class TaskFailure:
+    """An unexpected error of a task.
+
+    Attributes
+    ----------
+    trace : str
+        The end of the traceback, at most `MAX_TRACE` characters.
+    """
+
+    task: str
+    reason: str
+    trace: str
+
+
 class TaskFunction(t.Protocol):
     """A task that can be started."""
 
@@ -21,14 +35,16 @@
 
 
 class BackgroundTasks:
-    """Starts tasks in a nursery, and logs their unexpected errors.
+    """Starts tasks in a nursery, and reports their unexpected errors.
 
     An error in one task would otherwise cancel the nursery, and with it all requests.
     """
 
-    def __init__(self, nursery: trio.Nursery, log: LogFunction) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, report: t.Callable[[TaskFailure], None]
+    ) -> None:
         self._nursery = nursery
-        self._log = log
+        self._report = report
 
     def start_soon(self, function: TaskFunction, *args: t.Any) -> None:
         """Start a task that ends by itself."""
@@ -44,13 +60,8 @@
             await function(*args)
         except Exception as error:
             trace = "".join(traceback.format_exception(error))
-            self._log(
-                "task_failed",
-                None,
-                task=function.__name__.strip("_"),
-                reason=repr(error),
-                trace=trace[-MAX_TRACE:],
-            )
+            task = function.__name__.strip("_")
+            self._report(TaskFailure(task, repr(error), trace[-MAX_TRACE:]))
             return False
         return True
 
--- a/src/tarragonrudder/edges/log_setup.py
+++ b/src/tarragonrudder/edges/log_setup.py
@@ -3,17 +3,20 @@
 import logging
 import sys
 import typing as t
+from dataclasses import asdict
 
 from pythonjsonlogger.json import JsonFormatter
 
+from tarragonrudder.edges.background import TaskFailure
+
 LOGGER_NAME = "tarragonrudder"
 
 
-def make_failure_log(logger: logging.Logger) -> t.Callable[..., None]:
-    """Return a function that logs failures of tasks as errors."""
+def make_failure_log(logger: logging.Logger) -> t.Callable[[TaskFailure], None]:
+    """Return a function that logs failures of tasks."""
 
-    def log(event: str, request: str | None, **fields: t.Any) -> None:
-        logger.error(event, extra={"request": request, **fields})
+    def log(failure: TaskFailure) -> None:
+        logger.error("task_failed", extra=asdict(failure))
 
     return log
 
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+from dataclasses import asdict
 
 import orjson
 import trio
@@ -18,7 +19,7 @@
 from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
-from tarragonrudder.edges.background import BackgroundTasks
+from tarragonrudder.edges.background import BackgroundTasks, TaskFailure
 from tarragonrudder.edges.decision_log import DecisionLog
 from tarragonrudder.edges.reach_checker import ReachChecker
 from tarragonrudder.edges.relay import Relay
@@ -154,7 +155,7 @@
             await nursery.start(self._ingress.run, settings.listen.front)
             if settings.relay_address:
                 await nursery.start(self._ingress.run, settings.relay_address, True)
-            tasks = BackgroundTasks(nursery, self._telemetry.log_event)
+            tasks = BackgroundTasks(nursery, self._log_task_failure)
             tasks.keep_running(self._serve_control)
             self._relay.start(tasks)
             self.registry.start(tasks)
@@ -232,6 +233,9 @@
                 self._telemetry.log_event("registration_failed", reason=str(error))
             await trio.sleep(NODE_RENEW_PERIOD)
 
+    def _log_task_failure(self, failure: TaskFailure) -> None:
+        self._telemetry.log_event("task_failed", **asdict(failure))
+
     def _log_blocked(self, trait: Trait, crashes: int) -> None:
         self._telemetry.log_event(
             "blocked", kind=trait.kind, key=trait.key, crashes=crashes
--- a/tests/forwarding/test_wait_queue.py
+++ b/tests/forwarding/test_wait_queue.py
@@ -85,8 +85,8 @@
         waiters.leave(waiter, is_served)
 
 
-def fail(event, request, **fields):
-    raise AssertionError(f"{event}: {fields}")
+def fail(failure):
+    raise AssertionError(failure.trace)
 
 
 @pytest.mark.parametrize("waiting", [1, 10, 60])
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -11,8 +11,9 @@
     def __init__(self):
         self.lines = []
 
-    def __call__(self, event, request, **fields):
-        self.lines.append((event, fields["task"], fields["reason"]))
+    def __call__(self, failure):
+        self.lines.append((failure.task, failure.reason))
+        assert failure.reason[:8] in failure.trace
 
 
 async def test_failed_task_is_logged_and_ends_no_other(autojump_clock):
@@ -32,7 +33,7 @@
         tasks.start_soon(go_on)
         tasks.start_soon(fail, "x")
     assert len(ended) == 1
-    assert log.lines == [("task_failed", "fail", "ValueError('x')")]
+    assert log.lines == [("fail", "ValueError('x')")]
 
 
 async def test_lasting_task_is_started_again_until_it_ends(autojump_clock):
