Don't count layers as held by an engine that takes no orders

An entry that is well formed and of nobody, or of an engine that refuses each order, was assigned layers and counted as their holder, while the engines that were left could have loaded them: callers would get 503 for good.

Change: after two orders in a row that were refused or could not be sent, an engine is assigned layers after all others and none of its own count, until it takes an order or ten seconds have passed without one. An order of which nothing was sent is repeated after a second, as a refused one; before, it counted as possibly carried out for some ten seconds.

Failing first: four of the eight cases of test_layers_of_an_engine_that_takes_no_order_are_loaded_by_others.

--- a/src/tarragonrudder/core/placement/loading.py
+++ b/src/tarragonrudder/core/placement/loading.py
@@ -1,7 +1,7 @@
 """Decides when an engine is ordered to load which layers."""
 
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tarragonrudder.core.domain.fleet import LayerRange
 from tarragonrudder.core.domain.route import EngineProfile
@@ -21,6 +21,10 @@
 # that can't hold the model yet wait for others no longer than that.
 MAX_SETTLE_PERIOD = 3.0
 RETRY_PERIOD = 1.0  # seconds before an order that was not accepted is repeated
+# Orders in a row that an engine has not accepted, from which on its layers don't count:
+# its entry may be of an engine that is gone, or of another writer.
+MAX_FAILED_ORDERS = 2
+FAILURE_MEMORY = 10.0  # seconds after which failed orders are forgotten
 # Seconds, beside the load time, after which an order counts as lost: it may still
 # be carried out seconds after its answer was lost.
 LOST_ORDER_PERIOD = 3.0
@@ -51,6 +55,31 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class _FailedOrders:
+    """Orders in a row that one start of an engine has not accepted."""
+
+    count: int
+    last_at: float
+
+
+@dataclass(slots=True)
+class _Classified:
+    """Engines by what they hold, as far as they can be used.
+
+    Attributes
+    ----------
+    placed : list of PlacedEngine
+        Those that hold layers, or are about to.
+    empty, unresponsive : list of EmptyEngine
+        Those that hold none; of these, the latter have taken no order lately.
+    """
+
+    placed: list[PlacedEngine] = field(default_factory=list)
+    empty: list[EmptyEngine] = field(default_factory=list)
+    unresponsive: list[EmptyEngine] = field(default_factory=list)
+
+
 class LoadingScheduler:
     """Tracks a planner's orders to the engines of one service; decides which are next.
 
@@ -65,6 +94,7 @@
     def __init__(self, service: str) -> None:
         self.service = service
         self._pending: dict[str, _Pending] = {}
+        self._failed_orders: dict[tuple[str, int], _FailedOrders] = {}
         self._known: set[str] = set()
         self._first_engine_at: float | None = None
         self._last_new_engine_at = 0.0
@@ -97,15 +127,17 @@
                 engines.append(registration)
         if not self._is_settled(profile, engines, now):
             return []
-        placed_engines, empty_engines = self._classify(engines, culprits, now)
-        chosen = assign_layers(profile, placed_engines, empty_engines)
-        for each in empty_engines:
+        found = self._classify(engines, culprits, now)
+        placed_engines = found.placed
+        chosen = assign_layers(profile, placed_engines, found.empty)
+        for each in found.empty:
             if each.name in chosen:
                 layers = chosen[each.name]
                 placed_engines.append(
                     PlacedEngine(each.name, each.data_center, each.kind, layers)
                 )
         chosen.update(self._find_moves(profile, placed_engines, now))
+        chosen.update(assign_layers(profile, placed_engines, found.unresponsive))
         orders = []
         for engine in engines:
             layers = chosen.get(engine.name)
@@ -123,8 +155,17 @@
         pending = self._pending.get(order.upstream)
         if pending is None or pending.order is not order:
             return
-        if outcome in ("conflict", "refused"):
-            pending.until = now + RETRY_PERIOD
+        engine = (order.upstream, order.born)
+        match outcome:
+            case "begun" | "done":
+                self._failed_orders.pop(engine, None)
+            case "conflict":
+                pending.until = now + RETRY_PERIOD
+            case "refused" | "unreachable":
+                pending.until = now + RETRY_PERIOD
+                failed = self._failed_orders.get(engine)
+                count = failed.count + 1 if failed is not None else 1
+                self._failed_orders[engine] = _FailedOrders(count, now)
 
     def _find_moves(
         self,
@@ -163,24 +204,34 @@
 
     def _classify(
         self, engines: t.Sequence[Registration], culprits: t.Container[str], now: float
-    ) -> tuple[list[PlacedEngine], list[EmptyEngine]]:
-        placed_engines, empty_engines = [], []
+    ) -> _Classified:
+        for key, failed in list(self._failed_orders.items()):
+            if now - failed.last_at > FAILURE_MEMORY:
+                del self._failed_orders[key]
+        found = _Classified()
         for engine in engines:
             if not engine.ready or engine.name in culprits:
                 continue
             center, kind = engine.data_center, engine.kind
             pending = self._find_pending(engine, now)
-            if pending is not None:
+            is_unresponsive = self._is_unresponsive(engine)
+            if pending is not None and not is_unresponsive:
                 layers = pending.order.layers
-                placed_engines.append(PlacedEngine(engine.name, center, kind, layers))
+                found.placed.append(PlacedEngine(engine.name, center, kind, layers))
             elif engine.layers is not None:
-                placed = PlacedEngine(
-                    engine.name, center, kind, engine.layers, movable=True
+                layers = engine.layers
+                is_movable = pending is None and not is_unresponsive
+                found.placed.append(
+                    PlacedEngine(engine.name, center, kind, layers, is_movable)
                 )
-                placed_engines.append(placed)
-            else:
-                empty_engines.append(EmptyEngine(engine.name, center, kind))
-        return placed_engines, empty_engines
+            elif pending is None:
+                empty = EmptyEngine(engine.name, center, kind)
+                (found.unresponsive if is_unresponsive else found.empty).append(empty)
+        return found
+
+    def _is_unresponsive(self, engine: Registration) -> bool:
+        failed = self._failed_orders.get((engine.name, engine.born))
+        return failed is not None and failed.count >= MAX_FAILED_ORDERS
 
     def _find_pending(self, engine: Registration, now: float) -> _Pending | None:
         """Return the order in progress on an engine, if any."""
--- a/src/tarragonrudder/platform/upstream_client.py
+++ b/src/tarragonrudder/platform/upstream_client.py
@@ -365,7 +365,8 @@
         -------
         str
             ``begun``, ``done``, ``conflict``, ``fenced`` (the token is outdated),
-            ``refused`` or ``lost`` (no response, so it may have been carried out).
+            ``refused``, ``unreachable`` (nothing was sent) or ``lost`` (no response, so
+            it may have been carried out).
         """
         body = {
             "operation": "place",
@@ -376,6 +377,8 @@
         }
         try:
             response = await self._post_order(upstream, body, ORDER_TIMEOUT)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+            return "unreachable"
         except httpx.HTTPError:
             return "lost"
         outcomes = {202: "begun", 200: "done", 409: "conflict", 412: "fenced"}
--- a/tests/forwarding/test_loading.py
+++ b/tests/forwarding/test_loading.py
@@ -70,6 +70,34 @@
     assert len(covered) >= min(80, 27 * len(engines) - 1)
 
 
+@pytest.mark.parametrize("outcome", ["refused", "unreachable"])
+@pytest.mark.parametrize("absent", ["f0", "f1-x", "f2-x", "f4"])
+def test_layers_of_an_engine_that_takes_no_order_are_loaded_by_others(absent, outcome):
+    # An entry of nobody counted as the holder of the layers that it was ordered.
+    engines = [
+        make_engine(name, None, None, "a", "fast") for name in ("f1", "f2", "f3")
+    ]
+    engines.append(make_engine(absent, None, None, "a", "fast"))
+    loading = LoadingScheduler("engines")
+    now = 0.0
+    while now < 8.0:
+        for order in plan(loading, engines, now):
+            if order.upstream == absent:
+                loading.record_outcome(order, outcome, now)
+                continue
+            loading.record_outcome(order, "begun", now)
+            names = [engine.name for engine in engines]
+            first, last = order.layers.first, order.layers.last
+            moved = make_engine(order.upstream, first, last, "a", "fast")
+            engines[names.index(order.upstream)] = moved
+        now += 0.25
+    covered = set()
+    for engine in engines:
+        if engine.layers is not None:
+            covered.update(range(engine.layers.first, engine.layers.last + 1))
+    assert covered == set(range(80))
+
+
 def order_range(order):
     return order.layers.first, order.layers.last + 1
 
