--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -21,6 +21,10 @@
     ----------
     refuse : bool
         Whether each call fails with status 503.
+    silent : bool
+        Whether calls get no answer, not even once it is over.
+    on_silenced : callable
+        Called with the name of each call that gets none.
     refused : set of str
         Addresses of `run_view` at which each call fails with status 503.
     era : int
@@ -35,6 +39,8 @@
         self.revision = 1
         self.oldest = 0
         self.refuse = False
+        self.silent = False
+        self.on_silenced: t.Callable[[str], None] = lambda call: None
         self.refused: set[str] = set()
         self.era = 1
         self.on_page: t.Callable[[], None] = lambda: None
@@ -158,7 +164,11 @@
 
         @app.before_request
         async def check() -> Response | None:
-            self.calls.append(request.path.removeprefix(BASE + "/kv-"))
+            call = request.path.removeprefix(BASE + "/kv-")
+            self.calls.append(call)
+            if self.silent:
+                self.on_silenced(call.partition("/")[0])
+                await trio.sleep_forever()
             self._expire()
             is_refused = self.refuse or request.host in self.refused
             return reply(503) if is_refused else None
