Bound the requests that wait for a path by service

Found by looking for choices made over all services: 64 requests that wait for a path of one model, such as one that has lost a layer, made the node refuse the second request for any other model that had to wait.

Change: the bound holds for each service.

--- a/src/tarragonrudder/core/forwarding/wait_queue.py
+++ b/src/tarragonrudder/core/forwarding/wait_queue.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-MAX_WAITING = 64  # a node admits a few requests a second, and they wait briefly
+# For one service; a node admits a few requests a second, and they wait briefly.
+MAX_WAITING = 64
 
 
 @dataclass(eq=False, slots=True)
@@ -40,10 +41,10 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    @property
-    def is_full(self) -> bool:
-        """Whether no further request may wait."""
-        return len(self._waiters) >= MAX_WAITING
+    def is_full(self, service: str) -> bool:
+        """Tell whether no further request for a service may wait."""
+        waiting = sum(waiter.service == service for waiter in self._waiters)
+        return waiting >= MAX_WAITING
 
     def has_line(self, service: str) -> bool:
         """Tell whether a new request for a service would overtake another one."""
--- a/src/tarragonrudder/edges/path_waiters.py
+++ b/src/tarragonrudder/edges/path_waiters.py
@@ -22,10 +22,9 @@
         """Run the rounds as a task, while requests wait."""
         self._tasks = tasks
 
-    @property
-    def is_full(self) -> bool:
-        """Whether no further request may wait."""
-        return self._queue.is_full
+    def is_full(self, service: str) -> bool:
+        """Tell whether no further request for a service may wait."""
+        return self._queue.is_full(service)
 
     def has_line(self, service: str) -> bool:
         """Tell whether a new request for a service would overtake another one."""
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -203,7 +203,7 @@
         since = trio.current_time()
         held = False
         if not job.may_have_run and self._path_waiters.has_line(job.service):
-            if self._path_waiters.is_full:
+            if self._path_waiters.is_full(job.service):
                 return self._state.refuse_waiting()
             waiter.expires_at = self._state.compute_wait_end(job.route, since)
             await self._path_waiters.wait_turn(waiter, waiter.expires_at)
