Tell all nodes of an upstream's announced end

In general each node had to meet the announcement in an answer of its own.

Change: the state that nodes exchange names the incarnations that have announced their end; what is news is passed on at once, like culprits and limits. A field is added to the message; older builds ignore it.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -399,6 +399,20 @@
         if self.upstream_gate.merge_limits(node, reports, now):
             self.on_news()
 
+    def merge_announced_ends(self, incarnations: t.Iterable[str]) -> None:
+        """Use no longer the upstreams whose announced end a peer tells.
+
+        Load pattern: a node that was cut off returns; the announcements came in answers
+        that other nodes received for it.
+        """
+        is_news = False
+        for incarnation in incarnations:
+            upstream = self.upstream_table.find(incarnation.rpartition("@")[0])
+            if upstream is not None and upstream.incarnation == incarnation:
+                is_news = self.upstream_gate.note_leaving(upstream) or is_news
+        if is_news:
+            self.on_news()
+
     def note_rejection(self, name: str, rejection: Rejected, now: float) -> None:
         """Avoid an upstream that rejected a request without running it."""
         period = MISDIRECTED_PERIOD if rejection.misdirected else REJECTED_PERIOD
--- a/src/tarragonrudder/core/forwarding/upstream_gate.py
+++ b/src/tarragonrudder/core/forwarding/upstream_gate.py
@@ -92,19 +92,25 @@
             Whether it is news for the other nodes.
         """
         incarnation = upstream.incarnation
-        if backpressure.is_leaving and self._upstream_table.note_leaving(upstream):
-            self.on_leaving(upstream.name)
+        is_news = backpressure.is_leaving and self.note_leaving(upstream)
         if backpressure.rest is not None:
             length = self.rests.observe(incarnation, backpressure.rest, now)
             self.on_rest(incarnation, backpressure.rest, length)
         limit = backpressure.limit
         if limit is None and not backpressure.has_no_limit:
-            return False
+            return is_news
         if not self.limits.observe(incarnation, limit, now):
-            return False
+            return is_news
         self.on_limit(incarnation, limit, "answer")
         return True
 
+    def note_leaving(self, upstream: Registration) -> bool:
+        """Record that an upstream announced its end; return whether that is news."""
+        if not self._upstream_table.note_leaving(upstream):
+            return False
+        self.on_leaving(upstream.name)
+        return True
+
     def merge_limits(
         self, node: str, reports: t.Mapping[str, LimitReport], now: float
     ) -> bool:
--- a/src/tarragonrudder/core/forwarding/upstream_table.py
+++ b/src/tarragonrudder/core/forwarding/upstream_table.py
@@ -171,6 +171,11 @@
         """Return the upstreams that have announced their end in their answers."""
         return sorted(self._leaving)
 
+    def list_announced_ends(self) -> list[str]:
+        """Return the incarnations of those upstreams."""
+        found = [self._registrations.get(name) for name in self.list_leaving()]
+        return [each.incarnation for each in found if each is not None]
+
     def is_suspected(self, name: str, now: float) -> bool:
         """Tell whether an upstream is avoided after failures."""
         health = self._health.get(name)
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -248,6 +248,7 @@
             culprits=self._state.list_culprits(now),
             report=self._describe(),
             limits=self._state.limits.snapshot(now),
+            announced_ends=self._state.upstream_table.list_announced_ends(),
             position=self._registry.position,
             view=self._registry.describe_view(peer_position),
         )
@@ -265,6 +266,7 @@
         if message.report is not None:
             self._state.peer_table.update(node, message.report, now)
         self._state.merge_limits(node, message.limits, now)
+        self._state.merge_announced_ends(message.announced_ends)
         for name, remaining in message.culprits.items():
             if self._state.merge_culprit(name, remaining, now):
                 self._on_culprit(name)
--- a/src/tarragonrudder/platform/peer_message.py
+++ b/src/tarragonrudder/platform/peer_message.py
@@ -33,6 +33,8 @@
     encode_view,
 )
 
+MAX_ANNOUNCED_ENDS = 256  # sent to a peer; bounds the message
+
 Seconds: t.TypeAlias = t.Annotated[FiniteFloat, Field(ge=0.0)]
 Name: t.TypeAlias = t.Annotated[str, Field(min_length=1, max_length=200)]
 
@@ -57,6 +59,8 @@
         Upstreams found at fault, with the seconds left of each.
     report : PeerReport or None
         What it tells of itself as a target of requests; None of an older build.
+    announced_ends : sequence of str
+        Incarnations of the upstreams that have announced their end.
     position : Position or None
         Position in the store up to which it knows all changes.
     view : StoreView or None
@@ -72,6 +76,7 @@
     culprits: t.Mapping[str, float]
     report: PeerReport | None = None
     limits: t.Mapping[str, LimitReport] = field(default_factory=dict)
+    announced_ends: t.Sequence[str] = ()
     position: Position | None = None
     view: StoreView | None = None
 
@@ -97,6 +102,7 @@
     culprits: dict[str, FiniteFloat]
     relay: _Relay | None = None
     limits: list[tuple[str, Seconds | None, Seconds, Seconds]] = []
+    announced_ends: list[str] = []
     position: t.Any = None
     view: t.Any = None
 
@@ -127,6 +133,7 @@
             "culprits": state.culprits,
             "relay": relay,
             "limits": _encode_limits(state.limits),
+            "announced_ends": state.announced_ends[:MAX_ANNOUNCED_ENDS],
             "position": encode_position(state.position),
             "view": encode_view(state.view),
         }
@@ -165,6 +172,7 @@
         culprits=found.culprits,
         report=report,
         limits=_make_limits(found),
+        announced_ends=found.announced_ends[:MAX_ANNOUNCED_ENDS],
         position=position,
         view=view,
     )
--- a/tests/site/test_upstream_leaving.py
+++ b/tests/site/test_upstream_leaving.py
@@ -1,12 +1,16 @@
 """Tests of upstreams that announce in their answers that they leave."""
 
+import contextlib
+
 import pytest
 import trio
 
 from tests.site.site import open_site
+from tests.site.test_cut_node import ask_regularly, open_cut_site
 from tests.site.test_upstream_limit import send_regularly
 from tests.site.test_upstream_rest import KINDS, make_upstreams
 from tests.site.upstream import Behavior
+from tests.soak.proxy import Cut
 
 DRAIN = 2.0  # seconds, "drain-ms"
 
@@ -65,3 +69,54 @@
         with trio.fail_after(2.0):
             while (await node.ask("/look/1")).status != 200:
                 await trio.sleep(0.05)
+
+
+async def test_announced_end_is_known_to_all_nodes():
+    # Each node had to meet the announcement in an answer of its own.
+    async with open_site() as site:
+        leaving, other = make_upstreams("/look", "u-1", "u-2")
+        await site.add(leaving, other)
+        first = await site.add_node()
+        second = await site.add_node(seeds=(first.control,))
+        await trio.sleep(1.5)
+        leaving.leaving = b"1"
+        while not leaving.announced_ends:
+            await first.ask("/look/1")
+        await trio.sleep(DRAIN / 2.0)
+        arrivals = len(leaving.arrivals)
+        for _ in range(20):
+            assert (await second.ask("/look/1")).status == 200
+        assert len(leaving.arrivals) == arrivals
+
+
+@pytest.mark.parametrize("target", ["/look/1", "/draft/1"])
+async def test_end_announced_by_way_of_another_node_is_noted(target):
+    # A node that was cut off passed the answer on, and sent the upstream requests
+    # seconds after it had, once its links were back.
+    async with contextlib.AsyncExitStack() as stack:
+        site, node, _ = await open_cut_site(stack)
+        node.cut(Cut.RESET)
+        await ask_regularly(node, target, 2.0)
+        site.store.refuse = True  # which would tell of the end as well
+        leaving = next(each for each in site.upstreams if each.name == "p-0")
+        if target == "/draft/1":
+            leaving = next(each for each in site.upstreams if each.name == "e-0")
+        leaving.leaving = b"1"
+        with trio.fail_after(5.0):
+            while not leaving.announced_ends:
+                await node.ask(target)
+        announced = trio.current_time()
+        node.restore()
+        await ask_regularly(node, target, DRAIN + 3.0)
+        late = [each for each in leaving.arrivals if each.begun > announced + DRAIN]
+        assert not late
+
+
+@pytest.mark.parametrize("told", ["u-1@0", "u-1", "other@1", "@", ""])
+async def test_end_of_another_start_concerns_no_upstream(told):
+    async with open_site() as site:
+        (upstream,) = make_upstreams("/look", "u-1")
+        await site.add(upstream)
+        node = await site.add_node()
+        node.daemon.state.merge_announced_ends([told])
+        assert (await node.ask("/look/1")).status == 200
