Let the soak write odd entries and earlier refusals

The soak's upstreams repeat a refusal on kept connections, and another writer keeps odd entries among those of upstreams and nodes.

--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from tests.site.test_odd_entries import ODD_ENTRIES
+from tests.site.test_repeated_refusal import make_refusal
 from tests.site.upstream import Behavior, UpstreamStandIn
 from tests.soak.proxy import Cut, Mode
 from tests.soak.world import NodeProcess, World
@@ -30,6 +32,8 @@
     {"reset": True},
     {"hang": True},
     {"foreign": True},
+    {"repeat": make_refusal(503, True)},
+    {"repeat": make_refusal(421, False)},
     {"unsigned": True},
     {"status": 500},
 )
@@ -270,11 +274,20 @@
     if source.random() < 0.5:
         world.store.remove(key)
     else:
-        world.store.put(key, source.choice([b"\xff{", b"[]", b'{"service": 3}']))
+        world.store.put(key, source.choice(list(ODD_ENTRIES.values())))
     await trio.sleep(lasts)
     world.register(upstream)
 
 
+async def write_odd_entry(world: World, source: random.Random, lasts: float) -> None:
+    """Have another writer keep an entry of nobody among those of upstreams or nodes."""
+    prefix = source.choice(("servers/", "tarragonrudder/nodes/"))
+    key = f"{prefix}odd-{next(world.numbers)}"
+    world.store.put(key, source.choice(list(ODD_ENTRIES.values())))
+    await trio.sleep(lasts)
+    world.store.remove(key)
+
+
 async def add_upstream(world: World, source: random.Random, lasts: float) -> None:
     """Add an upstream of one of the two services."""
     if len(world.upstreams) > 10:
@@ -345,6 +358,7 @@
     drain_upstream,
     announce_end,
     remove_upstream,
+    write_odd_entry,
     add_upstream,
     change_configuration,
 )
