Keep a reload during a node's start from ending it

Found by the review, without a case: SIGHUP within the first half second of a process ended it, as its handler is set up after the imports.

--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -323,6 +323,7 @@
     async def _watch_signals(self) -> None:
         """Reload on SIGHUP; on SIGTERM stop the node, then return."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            self._reload()  # a signal that came before has been ignored
             async for number in signals:
                 if number == signal.SIGHUP:
                     self._reload()
