Give empty engines first what no engine would hold

The same cause as of the layers that were never loaded again, on a related path: an empty engine, such as one that has restarted, was given what its own data centre lacked, while layers that no engine held stayed missing and no request was served.

Change: where layers would be missing from the fleet after all empty engines have been assigned theirs, the fleet's gaps are closed by these engines first. Without such a gap the assignment is as before, so that the first placement of a fleet is unchanged.

Failing first: test_empty_engines_hold_what_nobody_else_does.

--- a/src/tarragonrudder/core/placement/layer_assignment.py
+++ b/src/tarragonrudder/core/placement/layer_assignment.py
@@ -1,7 +1,7 @@
 """Assigns layers to empty engines, by what their data centre lacks."""
 
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tarragonrudder.core.domain.fleet import LayerRange
 from tarragonrudder.core.domain.route import EngineProfile
@@ -64,7 +64,7 @@
 
 def assign_layers(
     profile: EngineProfile,
-    placed_engines: t.Iterable[PlacedEngine],
+    placed_engines: t.Sequence[PlacedEngine],
     empty_engines: t.Iterable[EmptyEngine],
 ) -> dict[str, LayerRange]:
     """Return the layers for each empty engine.
@@ -74,7 +74,8 @@
     away capacity while it lasts. The fastest engines are placed first and on
     adjacent ranges, so that each data centre gets one path on which requests
     hold memory for the shortest time. The other engines replicate the layers
-    with the fewest copies.
+    with the fewest copies. What no engine would hold then comes before all that, as
+    no request can be served without it.
     """
     local: dict[str, list[int]] = {}
     fleet = [0] * profile.layer_count
@@ -84,6 +85,7 @@
             profile, placed.data_center, placed.layers, local, fleet, boundaries
         )
     chosen = {}
+    added = []
     for empty in sorted(empty_engines, key=lambda empty: _sort_key(profile, empty)):
         size = count_fitting_layers(profile, empty.kind)
         if size < 1:
@@ -92,7 +94,11 @@
         counts = local.get(center, [0] * profile.layer_count)
         layers = _choose_layers(counts, fleet, boundaries.get(center, set()), size)
         chosen[empty.name] = layers
+        added.append(PlacedEngine(empty.name, center, empty.kind, layers, True))
         _add_copies(profile, center, layers, local, fleet, boundaries)
+    if added and 0 in fleet:
+        fixed = [replace(placed, movable=False) for placed in placed_engines]
+        chosen.update(_close_fleet_gaps(profile, [*fixed, *added]))
     return chosen
 
 
--- a/tests/forwarding/test_layer_assignment.py
+++ b/tests/forwarding/test_layer_assignment.py
@@ -212,6 +212,40 @@
         assert min(after) >= 1
 
 
+KIND_NAMES = st.sampled_from(sorted(PROFILE.kinds))
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("abc"), KIND_NAMES, st.integers(0, 79)),
+        min_size=3,
+        max_size=16,
+    ),
+    st.lists(st.tuples(st.sampled_from("abc"), KIND_NAMES), min_size=1, max_size=3),
+)
+def test_empty_engines_hold_what_nobody_else_does(engines, empty):
+    # They were given what their data centre lacked, while no request could be served.
+    placed_engines = []
+    for number, (center, kind, first) in enumerate(engines):
+        size = count_fitting_layers(PROFILE, kind)
+        first = min(first, PROFILE.layer_count - size)
+        layers = LayerRange(first, first + size - 1)
+        placed_engines.append(PlacedEngine(f"e{number}", center, kind, layers, True))
+    empty_engines = []
+    for number, (center, kind) in enumerate(empty):
+        empty_engines.append(EmptyEngine(f"x{number}", center, kind))
+    counts = count_fleet(placed_engines)
+    missing = [layer for layer in range(80) if counts[layer] == 0]
+    chosen = assign_layers(PROFILE, placed_engines, empty_engines)
+    for each in empty_engines:
+        placed_engines.append(
+            PlacedEngine(each.name, each.data_center, each.kind, chosen[each.name])
+        )
+    smallest = min(count_fitting_layers(PROFILE, kind) for _, kind in empty)
+    if missing and missing[-1] - missing[0] < smallest * len(empty):
+        assert min(count_fleet(placed_engines)) >= 1
+
+
 def test_small_data_center_is_left_alone():
     placed_engines = [PlacedEngine("x", "a", "slow", LayerRange(0, 8), movable=True)]
     assert find_moves(PROFILE, placed_engines) == {}
