--- a/src/tarragonrudder/core/placement/loading.py
+++ b/src/tarragonrudder/core/placement/loading.py
@@ -122,7 +122,7 @@
                 or registration.kind not in profile.kinds
             ):
                 continue
-            # An entry of layers that the model doesn't have is no engine's of it.
+            # Layers that the model doesn't have are an error of the entry.
             if layers is None or profile.has_layers(layers):
                 engines.append(registration)
         if not self._is_settled(profile, engines, now):
--- a/tests/site/test_odd_peers.py
+++ b/tests/site/test_odd_peers.py
@@ -109,7 +109,7 @@
 
 
 @pytest.mark.parametrize("case", ODD_FIELDS)
-async def test_odd_answer_of_a_peer_is_left_out(case, capfd):
+async def test_odd_answer_of_a_peer_is_left_out(case):
     # A node that asks meets the same values in what it is answered.
     content = make_odd(case)
     data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(content) + content
