--- a/tests/site/test_store_views.py
+++ b/tests/site/test_store_views.py
@@ -113,7 +113,8 @@
 
 def describe(registry):
     upstreams = {each.name: each for each in registry._state.upstream_table}
-    return upstreams, set(registry.node_names), registry._state.version
+    known = dict(registry.node_addresses), registry.has_planner
+    return upstreams, known, registry._state.version
 
 
 @pytest.mark.parametrize("seed", range(30))
