Keep a rest whose upstream's entry vanishes for a moment

Cause: each second the gate dropped the rests of all upstreams without an entry.

Change: a rest ends by its own time alone; a new start has another incarnation. The latest 256 rests of upstreams without an entry are kept, so their number is bounded.

Ruled out: keeping the entry itself in the table, which would send work to upstreams that are gone.

Both new tests failed before; tests/forwarding and the site's tests of rests pass after.

--- a/src/tarragonrudder/core/forwarding/upstream_rests.py
+++ b/src/tarragonrudder/core/forwarding/upstream_rests.py
@@ -7,6 +7,7 @@
 
 # Seconds; a longer rest is taken for a mistake, and the upstream is tried again then.
 MAX_REST = 24 * 3600.0
+MAX_VANISHED = 256  # rests that are kept of upstreams without an entry
 # Part of a rest, and seconds, by which its end differs between nodes at most: many of
 # them may have been asked for it at the same moment.
 END_JITTER_SHARE = 0.1
@@ -95,7 +96,10 @@
             rest.sent_at = now
 
     def expire(self, known: t.Container[str], now: float) -> dict[str, float]:
-        """Drop rests that are over, and those of upstreams that are gone.
+        """Drop rests that are over.
+
+        An upstream whose entry vanished may come back as the same start; its rest
+        stays, as one of the latest `MAX_VANISHED`.
 
         Returns
         -------
@@ -103,12 +107,18 @@
             Seconds that each rest has lasted which ended since the last call.
         """
         ended = {}
+        vanished = []
         for upstream, rest in list(self._rests.items()):
-            if upstream not in known or now >= rest.until + RETURN_PERIOD:
-                del self._rests[upstream]
             if now >= rest.until and not rest.is_over:
                 rest.is_over = True
                 ended[upstream] = rest.until - rest.asked_at
+            if now >= rest.until + RETURN_PERIOD:
+                del self._rests[upstream]
+            elif upstream not in known:
+                vanished.append(upstream)
+        vanished.sort(key=lambda upstream: self._rests[upstream].asked_at)
+        for upstream in vanished[:-MAX_VANISHED]:
+            del self._rests[upstream]
         return ended
 
     def _compute_rate(self, rest: _Rest, now: float) -> float:
--- a/tests/forwarding/test_upstream_rests.py
+++ b/tests/forwarding/test_upstream_rests.py
@@ -1,6 +1,7 @@
 """Rests that upstreams ask for, and the return of requests after them."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -10,6 +11,7 @@
     END_JITTER_SHARE,
     MAX_END_JITTER,
     MAX_REST,
+    MAX_VANISHED,
     RETURN_PERIOD,
     UpstreamRests,
 )
@@ -63,6 +65,33 @@
     assert len(rests) == 0
 
 
+@pytest.mark.parametrize(("asked", "rests_on"), [(3.0, True), (0.4, False)])
+def test_rest_outlasts_a_vanished_entry(asked, rests_on):
+    # Soak seed 9810: an entry vanished for 0.7 s, and its upstream got 10 requests.
+    state = make_state()
+    engine = make_engine("e1", 0, 79)
+    state.upstream_table.register(engine)
+    gate = state.upstream_gate
+    state.observe_backpressure(engine, Backpressure(rest=asked), 0.0)
+    state.upstream_table.deregister("e1", 0.7)
+    gate.expire(0.8)
+    state.upstream_table.register(engine)
+    assert gate.is_resting("e1", 1.4) is rests_on
+    state.upstream_table.register(replace(engine, born=engine.born + 1))
+    assert not gate.is_resting("e1", 1.4)  # it has started anew
+
+
+def test_rests_of_vanished_upstreams_are_bounded():
+    rests = UpstreamRests(random.Random(1))
+    for number in range(2 * MAX_VANISHED):
+        rests.observe(f"u{number}@1", MAX_REST, float(number))
+    rests.observe("known@1", MAX_REST, 0.0)
+    rests.expire({"known@1"}, 2.0 * MAX_VANISHED)
+    assert len(rests) == MAX_VANISHED + 1
+    assert rests.is_resting("known@1", 2.0 * MAX_VANISHED)
+    assert rests.is_resting(f"u{2 * MAX_VANISHED - 1}@1", 2.0 * MAX_VANISHED)
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "rest", "lines"),
     [
