Keep a rest when a restored store lists an earlier start

Its logs show why: the upstream had started anew just before the store came back from an older copy, which listed the earlier start. Rests were kept by the listed start, so each restoration changed whom they belonged to, and requests returned at once.

Change: rests and limits belong to the latest start that the node has seen of a name. A later start still ends them.

Ruled out: sends by detours or retries (the 'placed' lines are first sends with the upstream as their only stage); a log line left out.

Both cases of the new test failed before.

--- a/src/tarragonrudder/core/forwarding/upstream_gate.py
+++ b/src/tarragonrudder/core/forwarding/upstream_gate.py
@@ -91,7 +91,7 @@
         bool
             Whether it is news for the other nodes.
         """
-        incarnation = upstream.incarnation
+        incarnation = self._get_incarnation(upstream)
         is_news = backpressure.is_leaving and self.note_leaving(upstream)
         if backpressure.rest is not None:
             length = self.rests.observe(incarnation, backpressure.rest, now)
@@ -122,7 +122,7 @@
 
     def expire(self, now: float) -> None:
         """Drop what no longer holds."""
-        known = {upstream.incarnation for upstream in self._upstream_table}
+        known = {self._get_incarnation(upstream) for upstream in self._upstream_table}
         for upstream in self.limits.expire(known, now):
             self.on_limit(upstream, None, "no answer")
         for upstream, length in self.rests.expire(known, now).items():
@@ -134,17 +134,19 @@
         """Return those upstreams that may get one more request."""
         if self.is_open:
             return list(upstreams)
-        return [each for each in upstreams if self._is_free(each.incarnation, now)]
+        return [each for each in upstreams if self._is_free(each, now)]
 
     def has_room(self, name: str, now: float) -> bool:
         """Tell whether an upstream may get one more request."""
         upstream = self._upstream_table.find(name)
-        return upstream is None or self._is_free(upstream.incarnation, now)
+        return upstream is None or self._is_free(upstream, now)
 
     def is_resting(self, name: str, now: float) -> bool:
         """Tell whether an upstream has asked this node for a rest."""
         upstream = self._upstream_table.find(name)
-        return upstream is not None and self.rests.is_resting(upstream.incarnation, now)
+        if upstream is None:
+            return False
+        return self.rests.is_resting(self._get_incarnation(upstream), now)
 
     def take(self, names: t.Iterable[str], now: float) -> None:
         """Count a request at the upstreams that it passes."""
@@ -169,12 +171,12 @@
         Shortage or None
             None if no upstream has asked not to get it.
         """
-        full = [each for each in upstreams if not self._is_free(each.incarnation, now)]
+        full = [each for each in upstreams if not self._is_free(each, now)]
         if not full:
             return None
         # Requests enter a path at its first stage, which is the first to hold them up.
         first = [each for each in full if each.layers and each.layers.first == 0]
-        names = [upstream.incarnation for upstream in first or full]
+        names = [self._get_incarnation(upstream) for upstream in first or full]
         wait = min(self._measure_wait(name, now) for name in names)
         rate = sum(self._measure_rate(name, now) for name in names)
         position = self._find_turn(request_id, now)
@@ -186,7 +188,11 @@
         """End the wait of a request."""
         self._waiting.pop(request_id, None)
 
-    def _is_free(self, incarnation: str, now: float) -> bool:
+    def _get_incarnation(self, upstream: Registration) -> str:
+        return self._upstream_table.get_latest_incarnation(upstream)
+
+    def _is_free(self, upstream: Registration, now: float) -> bool:
+        incarnation = self._get_incarnation(upstream)
         return self.limits.has_room(incarnation, now) and self.rests.has_room(
             incarnation, now
         )
@@ -214,4 +220,4 @@
         if self.is_open:
             return []
         found = [self._upstream_table.find(name) for name in names]
-        return [each.incarnation for each in found if each is not None]
+        return [self._get_incarnation(each) for each in found if each is not None]
--- a/src/tarragonrudder/core/forwarding/upstream_table.py
+++ b/src/tarragonrudder/core/forwarding/upstream_table.py
@@ -8,6 +8,7 @@
 INITIAL_SUSPICION = 1.0  # seconds; about the shortest restart of an upstream
 MAX_SUSPICION = 8.0  # seconds; a recovered upstream must not stay idle for longer
 FAILURE_MEMORY = 10.0  # seconds without a failure after which the count restarts
+MAX_KNOWN_STARTS = 4096  # names whose latest start is remembered
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +71,7 @@
         self._health: dict[str, Health] = {}
         self._by_address: dict[str, str] = {}
         self._leaving: set[str] = set()
+        self._latest_starts: dict[str, int] = {}
 
     def __iter__(self) -> t.Iterator[Registration]:
         return iter(self._registrations.values())
@@ -78,6 +80,15 @@
         """Return an upstream's registration."""
         return self._registrations.get(name)
 
+    def get_latest_incarnation(self, upstream: Registration) -> str:
+        """Return the latest known start of an upstream.
+
+        A store that was restored from an older copy may list an earlier start, while
+        the later one goes on.
+        """
+        born = max(upstream.born, self._latest_starts.get(upstream.name, 0))
+        return f"{upstream.name}@{born}"
+
     def find_by_address(self, address: str) -> Registration | None:
         """Return the upstream at an address."""
         return self._registrations.get(self._by_address.get(address, ""))
@@ -91,6 +102,7 @@
         if known is not None and known.born != registration.born:
             self._health.pop(name, None)
             self._leaving.discard(name)
+        self._note_start(name, registration.born)
         self._registrations[name] = registration
         self._by_address[registration.address] = name
         self._expires_at.pop(name, None)
@@ -228,6 +240,12 @@
                 silent.append(name)
         return tuple(silent)
 
+    def _note_start(self, name: str, born: int) -> None:
+        latest = max(born, self._latest_starts.pop(name, 0))
+        self._latest_starts[name] = latest
+        while len(self._latest_starts) > MAX_KNOWN_STARTS:
+            del self._latest_starts[next(iter(self._latest_starts))]
+
     def _drop(self, name: str) -> None:
         registration = self._registrations.pop(name, None)
         self._expires_at.pop(name, None)
--- a/tests/forwarding/test_upstream_rests.py
+++ b/tests/forwarding/test_upstream_rests.py
@@ -81,6 +81,22 @@
     assert not gate.is_resting("e1", 1.4)  # it has started anew
 
 
+@pytest.mark.parametrize(("asked_as", "listed_as"), [(2, 1), (1, 2)])
+def test_rest_outlasts_an_older_copy_of_the_entry(asked_as, listed_as):
+    # Soak seed 9810: a restored store listed an earlier start of the upstream.
+    state = make_state()
+    engine = make_engine("e1", 0, 79)
+    for born in (1, 2, asked_as):
+        state.upstream_table.register(replace(engine, born=born))
+    asking = state.upstream_table.find("e1")
+    state.observe_backpressure(asking, Backpressure(rest=3.0), 0.0)
+    state.upstream_table.register(replace(engine, born=listed_as))
+    assert state.upstream_gate.is_resting("e1", 1.0)
+    assert not state.upstream_gate.has_room("e1", 1.0)
+    state.upstream_table.register(replace(engine, born=3))
+    assert state.upstream_gate.has_room("e1", 1.0)
+
+
 def test_rests_of_vanished_upstreams_are_bounded():
     rests = UpstreamRests(random.Random(1))
     for number in range(2 * MAX_VANISHED):
