Check a configuration before it is sent

`check` told whether a folder is valid, and nothing of entries that are valid and without effect. It takes routing documents of the users' platform (*.json) beside folders.

The decisions are in core/configuration, without I/O; the document is decoded by the adapter's own models. API keys are never shown.

--- a/src/tarragonrudder/cli.py
+++ b/src/tarragonrudder/cli.py
@@ -23,6 +23,11 @@
 )
 from tarragonrudder.commands.output import print_json, print_table
 from tarragonrudder.commands.remote import FleetReport, RemoteSession, run_remote
+from tarragonrudder.commands.review import (
+    describe_review,
+    print_review,
+    review_path,
+)
 from tarragonrudder.commands.tool_settings import choose_platform, read_tool_settings
 from tarragonrudder.edges.exchange import ExchangeClient
 from tarragonrudder.edges.folder import build_configuration
@@ -72,14 +77,23 @@
         for record in history.context_records:
             print(record.describe(start))
 
-    def check(self, folder: str, json: bool = False) -> None:
-        """Check a folder without the platform."""
-        files = read_folder(str(folder))
-        configuration = build_configuration(files, 1)
+    def check(
+        self, folder: str, against: str | None = None, json: bool = False
+    ) -> None:
+        """Check a folder, or a routing document in JSON, without the platform.
+
+        Prints what is wrong, what can never match and which limits contradict each
+        other, and, with --against, what differs from the version in force.
+
+        Example: tarragonrudder check next.json --against in-force.json
+        """
+        review = review_path(str(folder), None if against is None else str(against))
         if json:
-            print_json({"valid": True, "digest": configuration.digest})
-            return
-        print(f"the folder is valid, digest {configuration.digest}")
+            print_json(describe_review(review))
+        else:
+            print_review(review)
+        if not review.is_valid:
+            raise SystemExit(ExitCode.INVALID)
 
     def diff(
         self,
--- a/src/tarragonrudder/commands/difference.py
+++ b/src/tarragonrudder/commands/difference.py
@@ -7,10 +7,12 @@
 from tarragonrudder.edges.pieces import Files
 from tarragonrudder.errors import FolderError
 
-HIDDEN_KEYS = frozenset({"key_hashes"})
+HIDDEN_KEYS = frozenset({"key_hashes", "keys"})
 HIDDEN_VALUE = "(not shown)"
 ABSENT = "-"
 
+Sections: t.TypeAlias = t.Mapping[str, t.Mapping[str, str]]
+
 
 @dataclass(frozen=True, slots=True)
 class Difference:
@@ -30,8 +32,11 @@
     FolderError
         If a folder can't be parsed.
     """
-    old = _merge(before)
-    new = _merge(after)
+    return compare_sections(_merge(before), _merge(after))
+
+
+def compare_sections(old: Sections, new: Sections) -> list[Difference]:
+    """Return the differences between two sets of sections, by name and key."""
     differences = []
     for header in sorted({*old, *new}):
         old_values = old.get(header, {})
--- a/src/tarragonrudder/platform/decoding.py
+++ b/src/tarragonrudder/platform/decoding.py
@@ -5,6 +5,10 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from tarragonrudder.core.configuration.route_review import (
+    AccountKeys,
+    RoutingDocument,
+)
 from tarragonrudder.core.domain.address import check_address
 from tarragonrudder.core.domain.fleet import LayerRange
 from tarragonrudder.core.domain.route import (
@@ -167,7 +171,17 @@
         If it is invalid. The message names fields but never quotes values, which
         may be API keys.
     """
+    return _make_table(_validate(_Configuration, text))
+
+
+def decode_routing_document(text: bytes) -> RoutingDocument:
+    """Decode the operator's configuration for a review; raises DocumentError."""
     document = _validate(_Configuration, text)
+    accounts = [AccountKeys(each.name, each.keys) for each in document.tenants]
+    return RoutingDocument(_make_table(document), tuple(accounts))
+
+
+def _make_table(document: _Configuration) -> RouteTable:
     accounts = {}
     for tenant in document.tenants:
         for key in tenant.keys:
