Serve callers who come while a node starts

Callers saw a refused connection while the program was loading, about a second of a small VM's processor, then 503 'no configuration is known yet'. After a loss of power of all nodes each caller with one retry was lost.

Cause: the listener was opened last, and a request without a configuration was refused at once, also in the moment before the first answer of the store.

Change: a module of the standard library alone opens the callers' listener first; a request that comes before the first configuration waits for it, at most a second, a quarter of its time, and until four seconds after the start.

Ruled out: waiting later than that, since a node without store and peers would hold requests that it can't serve.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -9,6 +9,10 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
 
+from tarragonrudder.platform.early_listener import open_early_listener  # noqa: E402
+
+listener = open_early_listener()
+
 from tarragonrudder.platform.daemon import main  # noqa: E402
 
-main()
+main(listener)
--- a/src/tarragonrudder/edges/relay.py
+++ b/src/tarragonrudder/edges/relay.py
@@ -4,6 +4,7 @@
 what happened.
 """
 
+import math
 import typing as t
 from dataclasses import dataclass, replace
 
@@ -32,6 +33,12 @@
 MIN_HANGING_TIME = 0.5
 # Seconds; a fleet that was full for a whole timeout needs more time to recover.
 TIMEOUT_RETRY_AFTER = 1.0
+# Seconds after its start in which a node without a configuration lets requests wait for
+# it, and the longest such wait: about as long as callers wait to be refused and return.
+START_PERIOD = 4.0
+START_WAIT = 1.0
+# Part of the time that a caller has which such a wait may use.
+START_WAIT_SHARE = 0.25
 
 
 class ResponseAborted(Exception):
@@ -67,9 +74,12 @@
         self._plain_calls = PlainCalls(sender)
         self._path_waiters = PathWaiters()
         self._streams = Streams(sender, self._stall_prober, self._path_waiters)
+        self._configured = trio.Event()
+        self._start_until = -math.inf
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Start tasks that outlive a request."""
+        self._start_until = trio.current_time() + START_PERIOD
         self._stall_prober.start(tasks)
         self._path_waiters.start(tasks)
 
@@ -78,6 +88,10 @@
         """Number of requests that wait for a path."""
         return self._path_waiters.count
 
+    def notify_configured(self) -> None:
+        """Admit the requests that wait for the first configuration."""
+        self._configured.set()
+
     def notify_streams(self, upstream: str) -> None:
         """Wake the streams whose path includes an upstream."""
         self._stall_prober.notify_streams(upstream)
@@ -106,6 +120,8 @@
         CallerDisconnected
             If the caller closed its connection.
         """
+        if self._state.route_table is None:
+            await self._wait_configured(request)
         admitted = self._state.admit(request, handover is not None)
         if isinstance(admitted, Problem):
             return self.refuse(request, admitted)
@@ -152,6 +168,18 @@
             problem = replace(problem, retry_after=after)
         return self.refuse(request, problem, job.first_upstreams)
 
+    async def _wait_configured(self, request: ForwardedRequest) -> None:
+        """Let a request wait for the first configuration after the node's start.
+
+        Load pattern: all nodes restart at once and are asked before they have read the
+        store. A refusal would use up the one retry that many callers have.
+        """
+        wait = START_WAIT
+        if request.timeout is not None:
+            wait = min(wait, START_WAIT_SHARE * request.timeout)
+        with trio.move_on_at(min(self._start_until, request.arrived + wait)):
+            await self._configured.wait()
+
     def _handle_timeout(self, job: Job) -> Problem:
         self._handle_hanging(job)
         if job.may_have_run:
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 from dataclasses import asdict
 
@@ -57,6 +58,8 @@
         Settings file, reloaded on SIGHUP; None disables reloading.
     metrics_port : int
         Port on the node's address that serves the metrics.
+    listener : socket.socket or None
+        Socket that listens at the callers' address already.
 
     Attributes
     ----------
@@ -73,8 +76,10 @@
         path: pathlib.Path | None,
         settings: PlatformNodeSettings,
         metrics_port: int = METRICS_PORT,
+        listener: socket.socket | None = None,
     ) -> None:
         self._path = path
+        self._listener = listener
         self._metrics_address = f"{settings.ip}:{metrics_port}"
         self._settings = settings
         source = random.Random()
@@ -116,7 +121,7 @@
         self._reach_checker = ReachChecker(
             self.state, self._upstreams, log, source, self._handle_reach_change
         )
-        self.registry.on_adopted = self.peers.announce
+        self.registry.on_adopted = self._handle_adopted
         self.registry.hears_peers = self.peers.hears_peers
         self.state.on_news = self.peers.announce
         self.state.on_blocked = self._log_blocked
@@ -152,7 +157,9 @@
         settings = self._settings
         self._telemetry.log_event("started", zone=settings.zone, ip=settings.ip)
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._ingress.run, settings.listen.front)
+            await nursery.start(
+                self._ingress.run, settings.listen.front, False, self._listener
+            )
             if settings.relay_address:
                 await nursery.start(self._ingress.run, settings.relay_address, True)
             tasks = BackgroundTasks(nursery, self._log_task_failure)
@@ -182,6 +189,10 @@
             self.is_ready and not is_cut,
         )
 
+    def _handle_adopted(self) -> None:
+        self._relay.notify_configured()
+        self.peers.announce()
+
     def _handle_reach_change(self) -> None:
         self.peers.announce()
         self._relay.notify_all_streams()
@@ -373,8 +384,14 @@
                     self._telemetry.log_event("registration_kept", reason=str(error))
 
 
-def main() -> None:
-    """Run a node with the settings file named by an environment variable."""
+def main(listener: socket.socket | None = None) -> None:
+    """Run a node with the settings file named by an environment variable.
+
+    Parameters
+    ----------
+    listener : socket.socket or None
+        Socket that listens at the callers' address already.
+    """
     text = os.environ.get(protocol.SETTINGS_VARIABLE, "")
     if not text:
         print(f"set {protocol.SETTINGS_VARIABLE} to a settings file", file=sys.stderr)
@@ -385,7 +402,7 @@
     except SettingsError as error:
         print(f"tarragonrudder: {error}", file=sys.stderr)
         raise SystemExit(2) from error
-    daemon = PlatformDaemon(path, settings)
+    daemon = PlatformDaemon(path, settings, listener=listener)
     try:
         trio.run(daemon.run)
     except Exception as error:
--- a/src/tarragonrudder/platform/ingress.py
+++ b/src/tarragonrudder/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import socket
 import typing as t
 
 import orjson
@@ -21,6 +22,7 @@
 from tarragonrudder.edges.relay import Handover, Relay, ResponseAborted
 from tarragonrudder.errors import Overloaded, Problem, RunState
 from tarragonrudder.platform import protocol
+from tarragonrudder.platform.early_listener import BACKLOG
 from tarragonrudder.platform.handover import HandoverError, decode_handover
 from tarragonrudder.platform.upstream_client import filter_headers
 
@@ -44,7 +46,6 @@
 # they are passed on to another node.
 MAX_ACTIVE_FOR_PEERS = 256
 CLOSE_HEADER = (b"Connection", b"close")
-BACKLOG = 512  # connections queued for accept during a burst
 # Seconds after the start of a planned stop during which requests are still accepted
 # and idle connections kept open: the load balancer notices the stop only after two
 # readiness probes, one second apart. A request accepted later might be cut off when
@@ -250,6 +251,7 @@
         self,
         address: str,
         for_peers: bool = False,
+        listener: socket.socket | None = None,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled.
@@ -258,9 +260,17 @@
         ----------
         for_peers : bool
             Whether other nodes connect to this address, and not callers.
+        listener : socket.socket or None
+            Socket that listens at the address already.
         """
-        host, _, port = address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        if listener is not None:
+            own = trio.socket.from_stdlib_socket(listener)
+            listeners = [trio.SocketListener(own)]
+        else:
+            host, _, port = address.rpartition(":")
+            listeners = await trio.open_tcp_listeners(
+                int(port), host=host, backlog=BACKLOG
+            )
         task_status.started()
         serve = functools.partial(self._serve_connection, for_peer=for_peers)
         await trio.serve_listeners(serve, listeners)
