Fetch configurations from peers as changes, compressed, and one at a time

Cause: each node fetched the whole configuration from each peer that told it of a newer version, from several at once and from any data centre.

Change: a node that asks names the digest of its text; it is answered with the chain of changes since, or with the whole text compressed. Changes are runs of the text before and new text, and are checked by their digest. One fetch runs at a time; a second peer is asked after 0.1 s. A peer of the own data centre that has told the version is asked first. Without the parameter the answer is the plain text, so nodes of the build before are served as before, and their plain answers are read.

--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -105,6 +105,7 @@
         self.peers = PeerGossip(
             settings.node,
             control_address,
+            settings.zone,
             settings.seeds,
             self.state,
             self.registry,
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -12,6 +12,11 @@
 from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.edges.background import BackgroundTasks
+from tarragonrudder.platform.configuration_exchange import (
+    KNOWN_PARAMETER,
+    ConfigurationAnswers,
+    ConfigurationFetcher,
+)
 from tarragonrudder.platform.http_client import (
     WholeResponse,
     fetch_whole,
@@ -52,6 +57,8 @@
     ----------
     name, address : str
         This node's name, and the ``HOST:PORT`` at which peers reach it.
+    data_center : str
+        Where this node runs.
     seeds : tuple of str
         Addresses of peers to contact before any are discovered.
     on_culprit : callable
@@ -69,6 +76,7 @@
         self,
         name: str,
         address: str,
+        data_center: str,
         seeds: tuple[str, ...],
         state: ForwardingState,
         registry: Registry,
@@ -93,6 +101,10 @@
         self._announce_pending = False
         self._answered = 0  # exchanges that a peer answered
         self._answered_at = -math.inf
+        self._answers = ConfigurationAnswers(registry)
+        self._configurations = ConfigurationFetcher(
+            registry, data_center, self._call, log, source
+        )
         self._client = make_client(
             EXCHANGE_TIMEOUT, MAX_CONNECTIONS, MAX_IDLE_CONNECTIONS
         )
@@ -137,7 +149,11 @@
 
         @app.get(f"{PATH_PREFIX}/configuration")
         async def send_configuration() -> Response:
-            return Response(self._registry.configuration_text)
+            known = request.args.get(KNOWN_PARAMETER)
+            if known is None:  # of an older build
+                return Response(self._registry.configuration_text)
+            content, content_type = self._answers.answer(known)
+            return Response(content, content_type=content_type)
 
         @app.get(f"{PATH_PREFIX}/upstreams")
         async def send_upstreams() -> Response:
@@ -201,9 +217,7 @@
             self._merge_state(message)
             self._known_addresses.add(address)
             if message.version > self._state.version:
-                found = await self._call("GET", address, "configuration")
-                if found.status_code == 200 and found.content:
-                    self._registry.adopt(found.content, "peer")
+                await self._configurations.fetch(address, message.version)
             view = message.view
             if view is not None and self._registry.apply_view(view, asked_at):
                 self.views_applied += 1
@@ -264,6 +278,9 @@
         self._state.usage_tracker.set_peer(node, message.usage, now)
         self._state.merge_crash_reports(message.crash_reports, now)
         if message.report is not None:
+            self._configurations.note_version(
+                message.address, message.report.data_center, message.version
+            )
             self._state.peer_table.update(node, message.report, now)
         self._state.merge_limits(node, message.limits, now)
         self._state.merge_announced_ends(message.announced_ends)
--- a/src/tarragonrudder/platform/registry.py
+++ b/src/tarragonrudder/platform/registry.py
@@ -1,6 +1,5 @@
 """Cached view of the metadata store: configuration, upstreams and router nodes."""
 
-import hashlib
 import math
 import random
 import typing as t
@@ -8,6 +7,11 @@
 import trio
 
 from tarragonrudder.core.forwarding.state import ForwardingState
+from tarragonrudder.core.membership.document_history import (
+    DocumentChange,
+    DocumentHistory,
+    compute_digest,
+)
 from tarragonrudder.core.membership.read_schedule import ReadSchedule
 from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.platform import protocol
@@ -36,7 +40,6 @@
 # Seconds that a node which has just started waits for the answer of any peer before
 # it uses the store's configuration.
 PEER_WAIT = 1.0
-DIGEST_BYTES = 8
 # Seconds; no entry expires in a shorter outage, as entries survive a few missed
 # heartbeats.
 MIN_EXPIRY_OUTAGE = 2.0
@@ -59,6 +62,10 @@
     ----------
     configuration_text : bytes
         Configuration in force, as it was received; empty without one.
+    configuration_digest : str
+        Digest of it.
+    configuration_history : DocumentHistory
+        The last changes that led to it.
     upstream_entries : UpstreamEntries
         Entries of the upstreams.
     node_addresses : dict of str to str
@@ -97,7 +104,6 @@
         # Pages of a listing may hold changes that are newer than its position.
         self._listed_revision = 0
         self._configuration_revision = 0
-        self._configuration_digest = _compute_digest(b"")
         self._failing_since: float | None = None
         self._failures = 0
         self._watching = trio.CancelScope()
@@ -107,12 +113,19 @@
         self.has_asked_peers = False
         self.upstream_entries = UpstreamEntries(state.upstream_table, log)
         self.configuration_text: bytes = b""
+        self.configuration_digest = compute_digest(b"")
+        self.configuration_history = DocumentHistory()
         self.node_addresses: dict[str, str] = {}
         self.has_planner = False
         self.has_snapshot = False
         self.on_adopted: t.Callable[[], None] = lambda: None
         self.hears_peers: t.Callable[[], bool] = lambda: False
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 without one."""
+        return self._state.version
+
     @property
     def position(self) -> Position | None:
         """Position up to which all changes are known; None before a listing."""
@@ -148,7 +161,9 @@
         """Start to watch the store."""
         tasks.keep_running(self._run_watch)
 
-    def adopt(self, text: bytes, origin: str) -> bool:
+    def adopt(
+        self, text: bytes, origin: str, changes: t.Sequence[DocumentChange] = ()
+    ) -> bool:
         """Apply a configuration if it is valid and newer than the one in force.
 
         The store's content also replaces another one of the same version: after a
@@ -158,6 +173,8 @@
         ----------
         origin : str
             Where it comes from, for the log: ``store`` or ``peer``.
+        changes : sequence of DocumentChange
+            The changes that led to it from the one in force, if they are known.
 
         Returns
         -------
@@ -186,8 +203,7 @@
         except Exception as error:  # changes behind it must still be applied
             self._log("configuration_failed", None, reason=repr(error), source=origin)
             return False
-        self.configuration_text = text
-        self._configuration_digest = _compute_digest(text)
+        self._note_change(text, changes)
         self._log(
             "configuration_adopted",
             None,
@@ -198,6 +214,14 @@
         self.on_adopted()
         return True
 
+    def _note_change(self, text: bytes, changes: t.Sequence[DocumentChange]) -> None:
+        before, self.configuration_text = self.configuration_text, text
+        if changes and changes[0].before == self.configuration_digest:
+            self.configuration_history.extend(changes)
+        else:
+            self.configuration_history.note(before, text)
+        self.configuration_digest = compute_digest(text)
+
     def confirm_configuration(self, has_answer: bool) -> None:
         """Apply the store's first configuration, after peers were asked for theirs.
 
@@ -229,7 +253,7 @@
         items = self._change_log.list_since(after.revision)
         if items is None:
             return None
-        configuration = (self._configuration_revision, self._configuration_digest)
+        configuration = (self._configuration_revision, self.configuration_digest)
         return StoreView(position, self.view_age, configuration, tuple(items))
 
     def apply_view(self, view: StoreView, asked_at: float) -> bool:
@@ -257,7 +281,7 @@
         revision, digest = view.configuration
         if (
             revision != self._configuration_revision
-            and digest != self._configuration_digest
+            and digest != self.configuration_digest
         ):
             return False
         self._configuration_revision = revision
@@ -418,7 +442,3 @@
             self.adopt(text, "store")
         else:
             self._unconfirmed_configuration = text
-
-
-def _compute_digest(text: bytes) -> str:
-    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).hexdigest()
