Adopt the last of several configurations read at once, and none twice

Cause: a read of the store that returns a dozen versions decoded and adopted each in turn, and a version that a peer had told was decoded once more when the node read it itself.

A text that is in force already isn't decoded again.

Ruled out: going by the revision alone, as a lower version may be written last, which a node doesn't go back to.

Before and after, for four versions in one read: 4 decodes, 1; for a version that a peer has told and that is then read: 2 decodes, 1.

--- a/src/tarragonrudder/platform/decoding.py
+++ b/src/tarragonrudder/platform/decoding.py
@@ -126,6 +126,10 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
+class _Version(_Document):
+    version: int
+
+
 class _EntryPart(_Document):
     """Part of an entry; a number of another type than its field's is an error."""
 
@@ -158,6 +162,14 @@
     return _validate(_NodeEntry, text).address
 
 
+def decode_version(text: bytes) -> int:
+    """Return the version that a configuration names, 0 if it names none."""
+    try:
+        return _Version.model_validate_json(text).version
+    except ValidationError:
+        return 0
+
+
 def decode_configuration(text: bytes) -> RouteTable:
     """Decode the operator's configuration from JSON.
 
--- a/src/tarragonrudder/platform/registry.py
+++ b/src/tarragonrudder/platform/registry.py
@@ -19,6 +19,7 @@
     DocumentError,
     decode_configuration,
     decode_node_entry,
+    decode_version,
 )
 from tarragonrudder.platform.metadata_store import (
     Changes,
@@ -181,6 +182,8 @@
         bool
             Whether it was applied.
         """
+        if text and text == self.configuration_text:
+            return False  # a peer has told it already
         try:
             table = decode_configuration(text)
         except DocumentError as error:
@@ -386,7 +389,7 @@
             elif item.key.startswith(protocol.ROUTER_PREFIX):
                 self._apply_router_item(item)
             elif item.key == protocol.CONFIGURATION_KEY:
-                self._apply_configuration(item)
+                self._apply_configurations((item,))
         self.upstream_entries.apply_listing(entries, is_restored)
         self._change_log.reset(changes.position)
         self._listed_revision = max(
@@ -404,6 +407,7 @@
         if known is None:
             return
         self._end_outage()
+        configurations = []
         for item in changes.items:
             if item.revision <= known.revision:
                 continue  # a peer has told it while the store was read
@@ -415,7 +419,9 @@
                 self._change_log.note(item)
                 self._apply_router_item(item)
             elif item.key == protocol.CONFIGURATION_KEY and item.value is not None:
-                self._apply_configuration(item)
+                configurations.append(item)
+        if configurations:
+            self._apply_configurations(configurations)
         if changes.position.revision > known.revision:
             self._position = changes.position
         self._current_at = max(self._current_at, read_at)
@@ -435,10 +441,24 @@
         except DocumentError as error:
             self._log("node_entry_invalid", None, peer=name, reason=str(error))
 
-    def _apply_configuration(self, item: Item) -> None:
-        self._configuration_revision = item.revision
-        text = item.value or b""
-        if self.has_asked_peers:
+    def _apply_configurations(self, items: t.Sequence[Item]) -> None:
+        """Apply the last usable one of configurations that were written in turn.
+
+        Load pattern: an operator writes several large versions within one read.
+        """
+        self._configuration_revision = items[-1].revision
+        if not self.has_asked_peers:
+            self._unconfirmed_configuration = items[-1].value or b""
+            return
+        texts = [item.value or b"" for item in items]
+        if len(texts) == 1:
+            self.adopt(texts[0], "store")
+            return
+        tried = []
+        for text in sorted(reversed(texts), key=decode_version, reverse=True):
             self.adopt(text, "store")
-        else:
-            self._unconfirmed_configuration = text
+            tried.append(text)
+            if text == self.configuration_text:
+                break
+        if texts[-1] not in tried:
+            self.adopt(texts[-1], "store")  # which logs why it isn't in force
--- a/tests/site/test_store_views.py
+++ b/tests/site/test_store_views.py
@@ -9,6 +9,8 @@
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
 from tarragonrudder.core.membership.read_schedule import FLEET_READ_RATE
+from tarragonrudder.platform import registry as registry_module
+from tarragonrudder.platform.decoding import decode_configuration
 from tarragonrudder.platform.metadata_store import Changes, Item, Position
 from tarragonrudder.platform.registry import Registry
 from tarragonrudder.platform.store_view import (
@@ -344,3 +346,61 @@
         site.store.put("servers/e-1", site.upstreams[0].describe())
         await trio.sleep(2.5)
         assert [each.name for each in node.daemon.state.upstream_table] == ["e-1"]
+
+
+def make_texts(*versions):
+    return [orjson.dumps(make_configuration(version)) for version in versions]
+
+
+def make_items(texts):
+    return tuple(
+        Item("op/config", text, revision)
+        for revision, text in enumerate(texts, start=2)
+    )
+
+
+@pytest.mark.parametrize(
+    "texts,version,decoded",
+    [
+        (make_texts(3, 4, 5, 6), 6, 1),
+        ([*make_texts(3, 4), b"{}"], 4, 2),  # the last one is no configuration
+        (make_texts(4, 3), 4, 2),  # the last one is of a lower version
+        (make_texts(3, 5, 4, 5), 5, 1),
+        ([b"{}", b"[]"], 2, 2),
+    ],
+)
+async def test_last_of_several_configurations_is_adopted(
+    monkeypatch, texts, version, decoded
+):
+    registry = make_registry()
+    (first,) = make_texts(2)
+    registry._apply_snapshot(
+        Changes((Item("op/config", first, 1),), Position(1, 1)), 0.0
+    )
+    calls = count_decoded(monkeypatch)
+    registry._apply_changes(Changes(make_items(texts), Position(9, 1)), 1.0)
+    assert (registry.version, len(calls)) == (version, decoded)
+
+
+def count_decoded(monkeypatch):
+    calls = []
+
+    def count(text):
+        calls.append(text)
+        return decode_configuration(text)
+
+    monkeypatch.setattr(registry_module, "decode_configuration", count)
+    return calls
+
+
+async def test_configuration_that_a_peer_told_is_decoded_once(monkeypatch):
+    registry = make_registry()
+    first, second = make_texts(2, 3)
+    registry._apply_snapshot(
+        Changes((Item("op/config", first, 1),), Position(1, 1)), 0.0
+    )
+    calls = count_decoded(monkeypatch)
+    assert registry.adopt(second, "peer")
+    items = (Item("op/config", second, 2),)
+    registry._apply_changes(Changes(items, Position(2, 1)), 1.0)
+    assert (registry.version, len(calls)) == (3, 1)
