Fetch a configuration as soon as a peer announces it

Cause: a node that adopts a version announces it to four peers, but only the nodes that ask others fetch what they lack. A node that was told waited for its own next round, and then for luck in whom it asked; meanwhile it read the whole configuration from the store.

Change: a node that is told of a newer version fetches it from the teller, one at a time, if that is a known node's address.

Ruled out: asking more peers in each round, which costs all nodes all the time; asking peers of the own data centre first in each round: the load of nodes that were not heard is taken to be like that of those that were, and upstreams near by would look busier than they are.

--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -99,6 +99,7 @@
         self._heard_at: dict[str, float] = {}
         self._tasks: BackgroundTasks | None = None
         self._announce_pending = False
+        self._is_following = False
         self._answered = 0  # exchanges that a peer answered
         self._answered_at = -math.inf
         self._answers = ConfigurationAnswers(registry)
@@ -139,12 +140,10 @@
         @app.post(f"{PATH_PREFIX}/state")
         async def exchange_state() -> Response:
             try:
-                message = decode_state(await request.get_data())
+                content = self.answer_state(await request.get_data())
             except PeerMessageError as error:
                 self._log("peer_invalid", None, reason=str(error)[:MAX_REASON])
                 return Response(b"invalid state\n", 400)
-            self._merge_state(message)
-            content = encode_state(self._describe_state(message.position))
             return Response(content, content_type="application/json")
 
         @app.get(f"{PATH_PREFIX}/configuration")
@@ -160,6 +159,19 @@
             content = encode_entries(self._registry.upstream_entries.values)
             return Response(content, content_type="application/json")
 
+    def answer_state(self, content: bytes) -> bytes:
+        """Take what a peer tells, and return what this node knows.
+
+        Raises
+        ------
+        PeerMessageError
+            If it can't be read; nothing of it is used.
+        """
+        message = decode_state(content)
+        self._merge_state(message)
+        self._follow(message)
+        return encode_state(self._describe_state(message.position))
+
     def list_peer_addresses(self) -> list[str]:
         """Return the addresses of other nodes that are presumed alive."""
         found = {*self._seeds, *self._registry.node_addresses.values()}
@@ -249,6 +261,31 @@
             self._client, method, url, EXCHANGE_TIMEOUT, MAX_RESPONSE_BYTES, **options
         )
 
+    def _follow(self, message: PeerState) -> None:
+        """Fetch a configuration of which a peer has told that is newer.
+
+        Load pattern: versions come more often than each node asks another one. Nodes
+        that wait for their own turn to ask learn a version seconds late, or read it
+        from the store, all of them whole.
+        """
+        if (
+            self._tasks is None
+            or self._is_following
+            or message.version <= self._state.version
+            or message.address not in self.list_peer_addresses()
+        ):
+            return
+        self._is_following = True
+        self._tasks.start_soon(self._fetch_configuration, message)
+
+    async def _fetch_configuration(self, message: PeerState) -> None:
+        try:
+            await self._configurations.fetch(message.address, message.version)
+        except httpx.HTTPError:
+            pass  # the next round asks another peer
+        finally:
+            self._is_following = False
+
     def _describe_state(self, peer_position: Position | None = None) -> PeerState:
         """Return what this node knows, with the changes that a peer lacks."""
         now = trio.current_time()
