Compress what nodes tell each other across data centres

Most of a state is the work in flight by upstream.

Change: a node tells that it reads compressed states; what is sent to it from another data centre is compressed from then on. A node that does not tell, as of the build before, or that refuses a state, is sent plain ones.

Ruled out: fewer exchanges across data centres, which would make the load view of far nodes older and one-sided; sending only the work that changed, as a receiver hears each node seldom.

--- a/src/tarragonrudder/platform/configuration_exchange.py
+++ b/src/tarragonrudder/platform/configuration_exchange.py
@@ -2,7 +2,6 @@
 
 import random
 import typing as t
-import zlib
 
 import httpx
 import orjson
@@ -16,6 +15,11 @@
     DocumentChange,
     apply_change,
 )
+from tarragonrudder.platform.compression import (
+    CompressionError,
+    compress,
+    decompress,
+)
 from tarragonrudder.platform.decoding import Count
 from tarragonrudder.platform.http_client import WholeResponse
 from tarragonrudder.platform.registry import Registry
@@ -25,8 +29,6 @@
 KNOWN_PARAMETER = "known"
 CHANGES_TYPE = "application/x-router-configuration-changes"
 WHOLE_TYPE = "application/x-router-configuration"
-# Routes are alike: higher levels take longer and hardly shorten the text.
-COMPRESSION_LEVEL = 1
 MAX_KEPT_ANSWERS = 16
 MAX_KNOWN_PEERS = 4096
 # Seconds after which a node that waits for its own fetch asks a second peer. Peers of
@@ -187,7 +189,7 @@
 
 def encode_whole(text: bytes) -> bytes:
     """Encode a whole configuration; empty if there is none."""
-    return zlib.compress(text, COMPRESSION_LEVEL) if text else b""
+    return compress(text) if text else b""
 
 
 def encode_changes(changes: t.Iterable[DocumentChange]) -> bytes:
@@ -200,7 +202,7 @@
             for piece in change.pieces
         ]
         rows.append({"before": change.before, "after": change.after, "pieces": pieces})
-    return zlib.compress(orjson.dumps({"changes": rows}), COMPRESSION_LEVEL)
+    return compress(orjson.dumps({"changes": rows}))
 
 
 def decode_answer(
@@ -241,14 +243,10 @@
 
 
 def _decompress(content: bytes) -> bytes:
-    decoder = zlib.decompressobj()
     try:
-        text = decoder.decompress(content, MAX_DOCUMENT_BYTES)
-    except zlib.error:
-        raise ConfigurationError("the answer can't be decompressed") from None
-    if not decoder.eof:
-        raise ConfigurationError("the answer is cut off, or too long")
-    return text
+        return decompress(content, MAX_DOCUMENT_BYTES)
+    except CompressionError as error:
+        raise ConfigurationError(f"the answer: {error}") from None
 
 
 def _decode_changes(content: bytes) -> tuple[DocumentChange, ...]:
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -12,6 +12,7 @@
 from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.edges.background import BackgroundTasks
+from tarragonrudder.platform.compression import compress
 from tarragonrudder.platform.configuration_exchange import (
     KNOWN_PARAMETER,
     ConfigurationAnswers,
@@ -95,7 +96,10 @@
         self._registry = registry
         self._log = log
         self._random = source
+        self._data_center = data_center
         self._known_addresses: set[str] = set()
+        # Addresses in other data centres of nodes that read compressed states.
+        self._far_readers: set[str] = set()
         self._heard_at: dict[str, float] = {}
         self._tasks: BackgroundTasks | None = None
         self._announce_pending = False
@@ -170,7 +174,8 @@
         message = decode_state(content)
         self._merge_state(message)
         self._follow(message)
-        return encode_state(self._describe_state(message.position))
+        answer = encode_state(self._describe_state(message.position))
+        return compress(answer) if self._is_far_reader(message) else answer
 
     def list_peer_addresses(self) -> list[str]:
         """Return the addresses of other nodes that are presumed alive."""
@@ -222,11 +227,16 @@
     async def _exchange(self, address: str) -> None:
         asked_at = trio.current_time()
         try:
-            response = await self._call(
-                "POST", address, "state", content=encode_state(self._describe_state())
-            )
+            content = encode_state(self._describe_state())
+            if address in self._far_readers:
+                content = compress(content)
+            response = await self._call("POST", address, "state", content=content)
             message = decode_state(response.content)
             self._merge_state(message)
+            if not self._is_far_reader(message):
+                self._far_readers.discard(address)
+            elif len(self._far_readers) < MAX_KNOWN_PEERS:
+                self._far_readers.add(address)
             self._known_addresses.add(address)
             if message.version > self._state.version:
                 await self._configurations.fetch(address, message.version)
@@ -243,6 +253,7 @@
             if self._registry.is_store_unavailable and useful:
                 await self._fetch_upstreams(address)
         except (httpx.HTTPError, PeerMessageError) as error:
+            self._far_readers.discard(address)  # it may run an older build now
             if address in self._known_addresses:
                 self._known_addresses.remove(address)
                 self._log("peer_lost", None, peer=address, reason=repr(error))
@@ -261,6 +272,18 @@
             self._client, method, url, EXCHANGE_TIMEOUT, MAX_RESPONSE_BYTES, **options
         )
 
+    def _is_far_reader(self, message: PeerState) -> bool:
+        """Tell whether what is sent to a node is better compressed.
+
+        Bytes between data centres are dear, and those within one are not.
+        """
+        report = message.report
+        return (
+            message.reads_compressed
+            and report is not None
+            and report.data_center != self._data_center
+        )
+
     def _follow(self, message: PeerState) -> None:
         """Fetch a configuration of which a peer has told that is newer.
 
@@ -302,6 +325,7 @@
             announced_ends=self._state.upstream_table.list_announced_ends(),
             position=self._registry.position,
             view=self._registry.describe_view(peer_position),
+            reads_compressed=True,
         )
 
     def _merge_state(self, message: PeerState) -> None:
--- a/src/tarragonrudder/platform/peer_message.py
+++ b/src/tarragonrudder/platform/peer_message.py
@@ -23,6 +23,7 @@
 from tarragonrudder.core.forwarding.peer_table import PeerReport
 from tarragonrudder.core.forwarding.upstream_limits import MAX_REPORTS, LimitReport
 from tarragonrudder.core.forwarding.usage_tracker import Usage
+from tarragonrudder.platform.compression import MARK, CompressionError, decompress
 from tarragonrudder.platform.decoding import Address, Count
 from tarragonrudder.platform.metadata_store import Position
 from tarragonrudder.platform.store_view import (
@@ -33,6 +34,7 @@
     encode_view,
 )
 
+MAX_STATE_BYTES = 16 << 20  # once it is decompressed
 MAX_ANNOUNCED_ENDS = 256  # sent to a peer; bounds the message
 
 Seconds: t.TypeAlias = t.Annotated[FiniteFloat, Field(ge=0.0)]
@@ -65,6 +67,8 @@
         Position in the store up to which it knows all changes.
     view : StoreView or None
         The changes that the receiver lacks, if it told its position.
+    reads_compressed : bool
+        Whether it reads compressed states; False of an older build.
     """
 
     node: str
@@ -79,6 +83,7 @@
     announced_ends: t.Sequence[str] = ()
     position: Position | None = None
     view: StoreView | None = None
+    reads_compressed: bool = False
 
 
 class _Part(BaseModel):
@@ -105,6 +110,7 @@
     announced_ends: list[str] = []
     position: t.Any = None
     view: t.Any = None
+    compressed: bool = False
 
 
 _ENTRIES = TypeAdapter(dict[Name, str])
@@ -136,12 +142,13 @@
             "announced_ends": state.announced_ends[:MAX_ANNOUNCED_ENDS],
             "position": encode_position(state.position),
             "view": encode_view(state.view),
+            "compressed": state.reads_compressed,
         }
     )
 
 
 def decode_state(content: bytes) -> PeerState:
-    """Decode a node's state.
+    """Decode a node's state, which may be compressed.
 
     Raises
     ------
@@ -149,10 +156,12 @@
         If a field is missing, of another type or out of bounds.
     """
     try:
+        if content.startswith(MARK):
+            content = decompress(content, MAX_STATE_BYTES)
         found = _State.model_validate_json(content)
         position = decode_position(found.position)
         view = decode_view(found.view)
-    except (ValidationError, ValueError) as error:
+    except (ValidationError, ValueError, CompressionError) as error:
         raise PeerMessageError(f"invalid message from a peer: {error}") from error
     report = None
     if found.relay is not None:
@@ -175,6 +184,7 @@
         announced_ends=found.announced_ends[:MAX_ANNOUNCED_ENDS],
         position=position,
         view=view,
+        reads_compressed=found.compressed,
     )
 
 
