--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -13,6 +13,12 @@
 from tarragonrudder.core.forwarding.state import ForwardingState
 from tarragonrudder.core.membership.announcement_pacer import AnnouncementPacer
 from tarragonrudder.edges.background import BackgroundTasks
+from tarragonrudder.platform.compression import compress
+from tarragonrudder.platform.configuration_exchange import (
+    KNOWN_PARAMETER,
+    ConfigurationAnswers,
+    ConfigurationFetcher,
+)
 from tarragonrudder.platform.http_client import (
     WholeResponse,
     fetch_whole,
@@ -55,6 +61,8 @@
     ----------
     name, address : str
         This node's name, and the ``HOST:PORT`` at which peers reach it.
+    data_center : str
+        Where this node runs.
     seeds : tuple of str
         Addresses of peers to contact before any are discovered.
     on_culprit : callable
@@ -72,6 +80,7 @@
         self,
         name: str,
         address: str,
+        data_center: str,
         seeds: tuple[str, ...],
         state: ForwardingState,
         registry: Registry,
@@ -90,13 +99,21 @@
         self._registry = registry
         self._log = log
         self._random = source
+        self._data_center = data_center
         self._known_addresses: set[str] = set()
+        # Addresses in other data centres of nodes that read compressed states.
+        self._far_readers: set[str] = set()
         self._heard_at: dict[str, float] = {}
         self._tasks: BackgroundTasks | None = None
         self._pacer = AnnouncementPacer()
         self._pending_fanout = 0  # of the announcement that is scheduled
+        self._is_following = False
         self._answered = 0  # exchanges that a peer answered
         self._answered_at = -math.inf
+        self._answers = ConfigurationAnswers(registry)
+        self._configurations = ConfigurationFetcher(
+            registry, data_center, self._call, log, source
+        )
         self._client = make_client(
             EXCHANGE_TIMEOUT, MAX_CONNECTIONS, MAX_IDLE_CONNECTIONS
         )
@@ -133,23 +150,39 @@
         @app.post(f"{PATH_PREFIX}/state")
         async def exchange_state() -> Response:
             try:
-                message = decode_state(await request.get_data())
+                content = self.answer_state(await request.get_data())
             except PeerMessageError as error:
                 self._log("peer_invalid", None, reason=str(error)[:MAX_REASON])
                 return Response(b"invalid state\n", 400)
-            self._merge_state(message)
-            content = encode_state(self._describe_state(message.position))
             return Response(content, content_type="application/json")
 
         @app.get(f"{PATH_PREFIX}/configuration")
         async def send_configuration() -> Response:
-            return Response(self._registry.configuration_text)
+            known = request.args.get(KNOWN_PARAMETER)
+            if known is None:  # of an older build
+                return Response(self._registry.configuration_text)
+            content, content_type = self._answers.answer(known)
+            return Response(content, content_type=content_type)
 
         @app.get(f"{PATH_PREFIX}/upstreams")
         async def send_upstreams() -> Response:
             content = encode_entries(self._registry.upstream_entries.values)
             return Response(content, content_type="application/json")
 
+    def answer_state(self, content: bytes) -> bytes:
+        """Take what a peer tells, and return what this node knows.
+
+        Raises
+        ------
+        PeerMessageError
+            If it can't be read; nothing of it is used.
+        """
+        message = decode_state(content)
+        self._merge_state(message)
+        self._follow(message)
+        answer = encode_state(self._describe_state(message.position))
+        return compress(answer) if self._is_far_reader(message) else answer
+
     def list_peer_addresses(self) -> list[str]:
         """Return the addresses of other nodes that are presumed alive."""
         found = {*self._seeds, *self._registry.node_addresses.values()}
@@ -209,16 +242,19 @@
     async def _exchange(self, address: str) -> None:
         asked_at = trio.current_time()
         try:
-            response = await self._call(
-                "POST", address, "state", content=encode_state(self._describe_state())
-            )
+            content = encode_state(self._describe_state())
+            if address in self._far_readers:
+                content = compress(content)
+            response = await self._call("POST", address, "state", content=content)
             message = decode_state(response.content)
             self._merge_state(message)
+            if not self._is_far_reader(message):
+                self._far_readers.discard(address)
+            elif len(self._far_readers) < MAX_KNOWN_PEERS:
+                self._far_readers.add(address)
             self._known_addresses.add(address)
             if message.version > self._state.version:
-                found = await self._call("GET", address, "configuration")
-                if found.status_code == 200 and found.content:
-                    self._registry.adopt(found.content, "peer")
+                await self._configurations.fetch(address, message.version)
             view = message.view
             if view is not None and self._registry.apply_view(view, asked_at):
                 self.views_applied += 1
@@ -232,6 +268,7 @@
             if self._registry.is_store_unavailable and useful:
                 await self._fetch_upstreams(address)
         except (httpx.HTTPError, PeerMessageError) as error:
+            self._far_readers.discard(address)  # it may run an older build now
             if address in self._known_addresses:
                 self._known_addresses.remove(address)
                 self._log("peer_lost", None, peer=address, reason=repr(error))
@@ -250,6 +287,43 @@
             self._client, method, url, EXCHANGE_TIMEOUT, MAX_RESPONSE_BYTES, **options
         )
 
+    def _is_far_reader(self, message: PeerState) -> bool:
+        """Tell whether what is sent to a node is better compressed.
+
+        Bytes between data centres are dear, and those within one are not.
+        """
+        report = message.report
+        return (
+            message.reads_compressed
+            and report is not None
+            and report.data_center != self._data_center
+        )
+
+    def _follow(self, message: PeerState) -> None:
+        """Fetch a configuration of which a peer has told that is newer.
+
+        Load pattern: versions come more often than each node asks another one. Nodes
+        that wait for their own turn to ask learn a version seconds late, or read it
+        from the store, all of them whole.
+        """
+        if (
+            self._tasks is None
+            or self._is_following
+            or message.version <= self._state.version
+            or message.address not in self.list_peer_addresses()
+        ):
+            return
+        self._is_following = True
+        self._tasks.start_soon(self._fetch_configuration, message)
+
+    async def _fetch_configuration(self, message: PeerState) -> None:
+        try:
+            await self._configurations.fetch(message.address, message.version)
+        except httpx.HTTPError:
+            pass  # the next round asks another peer
+        finally:
+            self._is_following = False
+
     def _describe_state(self, peer_position: Position | None = None) -> PeerState:
         """Return what this node knows, with the changes that a peer lacks."""
         now = trio.current_time()
@@ -266,6 +340,7 @@
             announced_ends=self._state.upstream_table.list_announced_ends(),
             position=self._registry.position,
             view=self._registry.describe_view(peer_position),
+            reads_compressed=True,
         )
 
     def _merge_state(self, message: PeerState) -> None:
@@ -279,6 +354,9 @@
         self._state.usage_tracker.set_peer(node, message.usage, now)
         self._state.merge_crash_reports(message.crash_reports, now)
         if message.report is not None:
+            self._configurations.note_version(
+                message.address, message.report.data_center, message.version
+            )
             self._state.peer_table.update(node, message.report, now)
         self._state.merge_limits(node, message.limits, now)
         self._state.merge_announced_ends(message.announced_ends)
