Serve requests by the urgency of their route or account

Cause: priority levels of routes and accounts were decoded and used by no decision of the forwarding path. Waiting requests were ordered by the shortest wait left, the last room of engines went to whoever asked first, and upstreams, which admit the more urgent first, were told nothing.

Change: Where the routes to a service, or the accounts, differ in their level, it is carried with the request: to the line for a path (broken streams, then the more urgent; one of a full line may lose its place to a more urgent one and is refused as not run), to the path search (4% of each stage is left free for each more urgent level of which requests came of late), and to the upstream as Request-Priority. A level that begins under four tenths as often as all of its service goes first. With one level nothing changes: no header, the same order, no room held.

--- a/src/tarragonrudder/core/domain/route.py
+++ b/src/tarragonrudder/core/domain/route.py
@@ -156,6 +156,10 @@
     ----------
     needs_key : bool
         Whether requests need an API key.
+    account_levels : frozenset of int
+        Priority levels that accounts set for their requests.
+    has_unranked_callers : bool
+        Whether some callers' requests get their levels from routes.
     """
 
     def __init__(
@@ -172,6 +176,9 @@
         self.limits = limits
         self.needs_key = accounts is not None
         self._accounts = dict(accounts or {})
+        levels = {account.level for account in self._accounts.values()}
+        self.account_levels = frozenset(each for each in levels if each is not None)
+        self.has_unranked_callers = not self.needs_key or None in levels
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
--- a/src/tarragonrudder/core/forwarding/path.py
+++ b/src/tarragonrudder/core/forwarding/path.py
@@ -51,12 +51,15 @@
         Data centre of this node.
     first_upstream : str or None
         Upstream that must run the first stage.
+    held_share : float
+        Part of each stage's room that is left to more urgent requests.
     """
 
     prompt_tokens: int
     answer_tokens: int
     data_center: str
     first_upstream: str | None = None
+    held_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,7 +266,7 @@
         return _Holding(
             layer_time=(prefill_time + decode_time) / profile.layer_count,
             batch_time=batch_time / profile.layer_count,
-            full_tokens=max(1.0, FULL_THRESHOLD * capacity),
+            full_tokens=max(1.0, FULL_THRESHOLD * (1.0 - demand.held_share) * capacity),
             memory_cost=MEMORY_WEIGHT * len(layers) / profile.layer_count,
             step_factor=kind.step_factor,
         )
--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -25,6 +25,7 @@
 from tarragonrudder.core.forwarding.upstream_gate import Shortage, UpstreamGate
 from tarragonrudder.core.forwarding.upstream_limits import LimitReport
 from tarragonrudder.core.forwarding.upstream_table import Registration, UpstreamTable
+from tarragonrudder.core.forwarding.urgency import Urgencies
 from tarragonrudder.core.forwarding.usage_tracker import UsageTracker
 from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
 from tarragonrudder.core.selection.slowness import SlownessTracker
@@ -108,6 +109,7 @@
         self.peer_table = PeerTable(data_center, source)
         self._unconfirmed_crashes: list[tuple[tuple[Trait, ...], str]] = []
         self.usage_tracker = UsageTracker()
+        self.urgencies = Urgencies()
         self.retry_budget = retry_budget
         self.crash_tracker = CrashTracker()
         self._reported_blocks: frozenset[Trait] = frozenset()
@@ -145,6 +147,7 @@
         ):
             return False
         self.route_table = table
+        self.urgencies.adopt(table)
         self._finders = {}
         for service in table.services.values():
             if service.engine is not None:
@@ -242,6 +245,7 @@
         waiting_since: float,
         now: float,
         is_relayed: bool = False,
+        urgency: int | None = None,
     ) -> Path | Problem | Wait:
         """Return the path of a stream's next attempt, or why there is none.
 
@@ -257,6 +261,8 @@
             Time at which it began to wait for a path.
         is_relayed : bool
             Whether it came from another node, and must not be passed on once more.
+        urgency : int or None
+            Priority level; None if the service has only one.
         """
         blocked = self.refuse_blocked(request, may_have_run, now)
         if blocked is not None:
@@ -280,7 +286,12 @@
             if may_have_run:
                 return UpstreamFailed(CUT_MESSAGE, RunState.UNKNOWN)
             return self._refuse_cut()
-        path = self._search(request, service, avoided, first_upstreams, route, now)
+        held_share = 0.0
+        if not may_have_run:
+            held_share = self.urgencies.measure_held_share(service, urgency, now)
+        path = self._search(
+            request, service, avoided, first_upstreams, route, now, held_share
+        )
         if path is not None and (path.has_capacity or may_have_run):
             self.upstream_gate.leave(request.request_id)
             return path
@@ -333,6 +344,11 @@
         after = self._add_jitter(FULL_RETRY_AFTER)
         return Overloaded("too many requests wait for a path", retry_after=after)
 
+    def refuse_displaced(self) -> Problem:
+        """Return the error of a waiting request whose place a more urgent one took."""
+        after = self._add_jitter(FULL_RETRY_AFTER)
+        return Overloaded("a more urgent request took its place", retry_after=after)
+
     def refuse_retry(self) -> Problem:
         """Return the error of a stream for which no retry is left in the budget."""
         after = self._add_jitter(BUDGET_RETRY_AFTER)
@@ -665,6 +681,7 @@
         first_upstreams: frozenset[str],
         route: Route,
         now: float,
+        held_share: float = 0.0,
     ) -> Path | None:
         finder = self._finders.get(service)
         if finder is None:
@@ -678,7 +695,9 @@
             first_choices = tuple(sorted(first_upstreams - avoided))
         for first in first_choices:
             demand = replace(
-                self.estimate_demand(request, service), first_upstream=first
+                self.estimate_demand(request, service),
+                first_upstream=first,
+                held_share=held_share,
             )
             path = finder.find(usable, demand)
             if path is None:
--- a/src/tarragonrudder/core/forwarding/wait_queue.py
+++ b/src/tarragonrudder/core/forwarding/wait_queue.py
@@ -1,9 +1,14 @@
 """Requests of this node that wait for a path, and their order."""
 
+import typing as t
 from dataclasses import dataclass
 
 # For one service; a node admits a few requests a second, and they wait briefly.
 MAX_WAITING = 64
+KEPT_PLACES = 8  # of one level, which more urgent requests leave to it
+# Rounds of which one lets a request search that waits behind more urgent ones.
+BEHIND_ROUNDS = 4
+NONE_STARVED: frozenset[tuple[str, int]] = frozenset()
 
 
 @dataclass(eq=False, slots=True)
@@ -18,11 +23,22 @@
         Whether its caller has a part of the answer already.
     expires_at : float
         Time until which it may wait.
+    urgency : int or None
+        Priority level; None if its service has only one.
+    is_displaced : bool
+        Whether a more urgent request has taken its place.
     """
 
     service: str
     is_resumed: bool
     expires_at: float = 0.0
+    urgency: int | None = None
+    is_displaced: bool = False
+
+    @property
+    def level(self) -> int:
+        """Priority level, 0 without one."""
+        return self.urgency if self.urgency is not None else 0
 
 
 class WaitQueue:
@@ -31,28 +47,75 @@
     Load pattern: a burst or a lost stage leaves tens of requests of one node without a
     path. Whatever their number, the node searches a bounded number of times a second,
     and the room that appears goes to them in their order: broken streams, whose
-    callers leave soon, then those that may wait the shortest.
+    callers leave soon, then the more urgent, then those that may wait the shortest.
     """
 
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
         self._turn = 0
+        self._behind_turn = 0
 
     def __len__(self) -> int:
         return len(self._waiters)
 
+    def __contains__(self, waiter: object) -> bool:
+        return waiter in self._waiters
+
     def is_full(self, service: str) -> bool:
         """Tell whether no further request for a service may wait."""
         waiting = sum(waiter.service == service for waiter in self._waiters)
         return waiting >= MAX_WAITING
 
-    def has_line(self, service: str) -> bool:
-        """Tell whether a new request for a service would overtake another one."""
+    def has_line(self, service: str, urgency: int | None = None) -> bool:
+        """Tell whether a new request would overtake another one as urgent."""
+        level = urgency if urgency is not None else 0
         return any(
-            waiter.service == service and not waiter.is_resumed
+            waiter.service == service
+            and not waiter.is_resumed
+            and waiter.level <= level
             for waiter in self._waiters
         )
 
+    def count_by_level(self, service: str) -> dict[int, int]:
+        """Return how many requests of each level wait for a service."""
+        counts: dict[int, int] = {}
+        for waiter in self._waiters:
+            if waiter.service == service:
+                counts[waiter.level] = counts.get(waiter.level, 0) + 1
+        return counts
+
+    def list_levels(self) -> set[tuple[str, int]]:
+        """Return the services and levels of which requests wait."""
+        return {
+            (waiter.service, waiter.urgency)
+            for waiter in self._waiters
+            if waiter.urgency is not None
+        }
+
+    def displace(self, service: str, urgency: int | None) -> Waiter | None:
+        """Remove the least urgent request that waits, for a more urgent one.
+
+        Returns
+        -------
+        Waiter or None
+            None if no request is less urgent, or none may lose its place.
+        """
+        if urgency is None:
+            return None
+        counts = self.count_by_level(service)
+        found: Waiter | None = None
+        for waiter in self._waiters:
+            if waiter.service != service or waiter.is_resumed:
+                continue
+            if waiter.level <= urgency or counts[waiter.level] <= KEPT_PLACES:
+                continue
+            if found is None or _get_order(waiter) > _get_order(found):
+                found = waiter
+        if found is not None:
+            found.is_displaced = True
+            self._waiters.remove(found)
+        return found
+
     def join(self, waiter: Waiter) -> None:
         """Add a request, or update its place."""
         if waiter not in self._waiters:
@@ -64,20 +127,57 @@
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def choose(self, count: int) -> list[Waiter]:
+    def choose(
+        self, count: int, starved: t.Container[tuple[str, int]] = NONE_STARVED
+    ) -> list[Waiter]:
         """Return up to `count` requests that may search now.
 
         The first one is always among them. The others take turns, since what keeps
         the first from being served, such as the upstreams that failed it, need not
-        concern them.
+        concern them. Those behind more urgent ones get fewer turns.
+
+        Parameters
+        ----------
+        starved : container of (str, int)
+            Services and levels that go before more urgent ones.
         """
-        chosen = self._waiters[:1]
-        others = self._waiters[1:]
-        for _ in range(min(count - 1, len(others))):
+        ordered = sorted(self._waiters, key=lambda each: _get_rank(each, starved))
+        chosen = ordered[:1]
+        others, behind = self._split(ordered[1:], starved)
+        if behind and count > 1:
+            self._behind_turn += 1
+            turn, remainder = divmod(self._behind_turn, BEHIND_ROUNDS)
+            if remainder == 0:
+                chosen.append(behind[turn % len(behind)])
+        for _ in range(min(count - len(chosen), len(others))):
             self._turn = (self._turn + 1) % len(others)
             chosen.append(others[self._turn])
         return chosen
 
-
-def _get_order(waiter: Waiter) -> tuple[bool, float]:
-    return (not waiter.is_resumed, waiter.expires_at)
+    def _split(
+        self, waiters: t.Iterable[Waiter], starved: t.Container[tuple[str, int]]
+    ) -> tuple[list[Waiter], list[Waiter]]:
+        """Return those that no more urgent request waits before, and the rest."""
+        leading: dict[str, int] = {}
+        for waiter in self._waiters:
+            if not waiter.is_resumed:
+                least = leading.get(waiter.service, waiter.level)
+                leading[waiter.service] = min(least, waiter.level)
+        others, behind = [], []
+        for waiter in waiters:
+            is_behind = not waiter.is_resumed
+            is_behind = is_behind and waiter.level > leading[waiter.service]
+            is_behind = is_behind and (waiter.service, waiter.level) not in starved
+            (behind if is_behind else others).append(waiter)
+        return others, behind
+
+
+def _get_order(waiter: Waiter) -> tuple[bool, int, float]:
+    return (not waiter.is_resumed, waiter.level, waiter.expires_at)
+
+
+def _get_rank(
+    waiter: Waiter, starved: t.Container[tuple[str, int]]
+) -> tuple[bool, bool, int, float]:
+    is_starved = (waiter.service, waiter.level) in starved
+    return (not waiter.is_resumed, not is_starved, waiter.level, waiter.expires_at)
--- a/src/tarragonrudder/edges/job.py
+++ b/src/tarragonrudder/edges/job.py
@@ -47,6 +47,8 @@
         Name of the node that passed the request on; empty for a caller's own.
     peer_retry_after : float
         Longest time in seconds after which a node that refused it would take it.
+    urgency : int or None
+        Priority level, lower is served first; None if its service has only one.
     """
 
     request: ForwardedRequest
@@ -62,6 +64,7 @@
     running: dict[str, float] = field(default_factory=dict)
     relayed_by: str = ""
     peer_retry_after: float = 0.0
+    urgency: int | None = None
 
     @property
     def account_name(self) -> str:
@@ -205,6 +208,15 @@
             reason=reason,
         )
 
+    def log_displaced(self, job: Job) -> None:
+        """Log that a more urgent request took a waiting one's place."""
+        self.log(
+            "displaced",
+            job.request.request_id,
+            service=job.service,
+            urgency=job.urgency,
+        )
+
     def log_end(self, job: Job, status: int, **fields: t.Any) -> None:
         """Log that an upstream's answer was forwarded completely."""
         took = round(trio.current_time() - job.request.arrived, 3)
--- a/src/tarragonrudder/edges/path_waiters.py
+++ b/src/tarragonrudder/edges/path_waiters.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from tarragonrudder.core.forwarding.urgency import Urgencies
 from tarragonrudder.core.forwarding.wait_queue import Waiter, WaitQueue
 from tarragonrudder.edges.background import BackgroundTasks
 
@@ -10,9 +11,16 @@
 
 
 class PathWaiters:
-    """Wakes waiting requests in the order of the queue."""
+    """Wakes waiting requests in the order of the queue.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    urgencies : Urgencies or None
+        Tells which levels starve; None if all requests are equally urgent.
+    """
+
+    def __init__(self, urgencies: Urgencies | None = None) -> None:
+        self._urgencies = urgencies if urgencies is not None else Urgencies()
         self._queue = WaitQueue()
         self._events: dict[Waiter, trio.Event] = {}
         self._tasks: BackgroundTasks | None = None
@@ -26,9 +34,23 @@
         """Tell whether no further request for a service may wait."""
         return self._queue.is_full(service)
 
-    def has_line(self, service: str) -> bool:
-        """Tell whether a new request for a service would overtake another one."""
-        return self._queue.has_line(service)
+    def has_line(self, service: str, urgency: int | None = None) -> bool:
+        """Tell whether a new request would overtake another one as urgent."""
+        return self._queue.has_line(service, urgency)
+
+    def count_by_level(self, service: str) -> dict[int, int]:
+        """Return how many requests of each level wait for a service."""
+        return self._queue.count_by_level(service)
+
+    def make_place(self, waiter: Waiter) -> bool:
+        """Return whether there is a place, if need be that of a less urgent request."""
+        if not self._queue.is_full(waiter.service):
+            return True
+        displaced = self._queue.displace(waiter.service, waiter.urgency)
+        if displaced is None:
+            return False
+        self._events[displaced].set()
+        return True
 
     @property
     def count(self) -> int:
@@ -37,7 +59,12 @@
 
     async def wait_turn(self, waiter: Waiter, until: float) -> None:
         """Wait until a request may search again, or until a time."""
+        if waiter.is_displaced:
+            return
         event = self._events[waiter] = trio.Event()
+        if not waiter.is_resumed and waiter not in self._queue:
+            # Where no request gives way, it waits as the first of its level.
+            self.make_place(waiter)
         self._queue.join(waiter)
         if self._tasks is not None and not self._is_running:
             self._is_running = True
@@ -53,7 +80,13 @@
             self._wake(1)
 
     def _wake(self, count: int) -> None:
-        for waiter in self._queue.choose(count):
+        now = trio.current_time()
+        starved = {
+            (service, level)
+            for service, level in self._queue.list_levels()
+            if self._urgencies.is_starved(service, level, now)
+        }
+        for waiter in self._queue.choose(count, starved):
             self._events[waiter].set()
 
     async def _run_rounds(self) -> None:
--- a/src/tarragonrudder/edges/plain_calls.py
+++ b/src/tarragonrudder/edges/plain_calls.py
@@ -179,6 +179,7 @@
             job.deadline - trio.current_time(),
             fresh=not job.route.idempotent,
             sent_to=tuple(name for name in job.sent_to if name != upstream.name),
+            urgency=job.urgency,
         )
         attempt = await self._sender.open(job, dispatch)
         if attempt is None:
--- a/src/tarragonrudder/edges/relay.py
+++ b/src/tarragonrudder/edges/relay.py
@@ -65,7 +65,7 @@
         sender = Sender(state, upstreams, log)
         self._stall_prober = StallProber(sender)
         self._plain_calls = PlainCalls(sender)
-        self._path_waiters = PathWaiters()
+        self._path_waiters = PathWaiters(state.urgencies)
         self._streams = Streams(sender, self._stall_prober, self._path_waiters)
 
     def start(self, tasks: BackgroundTasks) -> None:
@@ -78,6 +78,10 @@
         """Number of requests that wait for a path."""
         return self._path_waiters.count
 
+    def count_waiting(self, service: str) -> dict[int, int]:
+        """Return how many requests of each priority level wait for a service."""
+        return self._path_waiters.count_by_level(service)
+
     def notify_streams(self, upstream: str) -> None:
         """Wake the streams whose path includes an upstream."""
         self._stall_prober.notify_streams(upstream)
@@ -114,6 +118,10 @@
         if request.timeout is not None:
             limit = min(limit, request.timeout)
         job = Job(request, route, account, service, request.arrived + limit)
+        urgencies = self._state.urgencies
+        job.urgency = urgencies.find_level(route, account, service)
+        if route.streaming:
+            urgencies.note_arrival(service, job.urgency, request.arrived)
         if handover is not None:
             job.relayed_by = handover.node
             job.sent_to.extend(handover.sent_to)
--- a/src/tarragonrudder/edges/relay_interfaces.py
+++ b/src/tarragonrudder/edges/relay_interfaces.py
@@ -29,6 +29,8 @@
         Whether the request must be sent on a new connection.
     sent_to : tuple of str
         Upstreams that it was sent to before, of which another node must know.
+    urgency : int or None
+        Priority level to tell the upstream; None if its service has only one.
     """
 
     request: ForwardedRequest
@@ -39,6 +41,7 @@
     last_event: int | None = None
     fresh: bool = False
     sent_to: tuple[str, ...] = ()
+    urgency: int | None = None
 
     @property
     def names(self) -> tuple[str, ...]:
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -190,10 +190,14 @@
 
     async def _find_path(self) -> Path | Problem:
         """Return the path of the next attempt; wait for one while that may help."""
-        waiter = Waiter(self._job.service, self._job.may_have_run)
+        job = self._job
+        waiter = Waiter(job.service, job.may_have_run, urgency=job.urgency)
         found: Path | Problem | None = None
         try:
             found = await self._wait_for_path(waiter)
+            if isinstance(found, Path) and not job.sent_to:
+                now = trio.current_time()
+                self._state.urgencies.note_begun(job.service, job.urgency, now)
             return found
         finally:
             self._path_waiters.leave(waiter, isinstance(found, Path))
@@ -202,12 +206,16 @@
         job = self._job
         since = trio.current_time()
         held = False
-        if not job.may_have_run and self._path_waiters.has_line(job.service):
-            if self._path_waiters.is_full(job.service):
+        has_line = self._path_waiters.has_line(job.service, job.urgency)
+        if not job.may_have_run and has_line:
+            if not self._path_waiters.make_place(waiter):
                 return self._state.refuse_waiting()
             waiter.expires_at = self._state.compute_wait_end(job.route, since)
             await self._path_waiters.wait_turn(waiter, waiter.expires_at)
         while True:
+            if waiter.is_displaced:
+                self._sender.log_displaced(job)
+                return self._state.refuse_displaced()
             found = self._state.find_path(
                 job.request,
                 job.route,
@@ -218,6 +226,7 @@
                 since,
                 trio.current_time(),
                 bool(job.relayed_by),
+                job.urgency,
             )
             if not isinstance(found, Wait):
                 return found
@@ -249,6 +258,7 @@
             # An earlier request's rejection on a kept connection may lack its id.
             fresh=job.fresh or not job.route.idempotent,
             sent_to=tuple(job.sent_to[:-1]),
+            urgency=job.urgency,
         )
         path_load = PathLoad(self._state.usage_tracker, self._tokens)
         path_load.switch_to(path)
--- a/src/tarragonrudder/edges/telemetry.py
+++ b/src/tarragonrudder/edges/telemetry.py
@@ -41,6 +41,13 @@
     ),
     MetricSpec("requests_running", "gauge", "Requests that have not ended"),
     MetricSpec("requests_waiting", "gauge", "Requests that wait for a path"),
+    MetricSpec(
+        "requests_waiting_by_level",
+        "gauge",
+        "Requests that wait, by service and priority level",
+        "level",
+    ),
+    MetricSpec("levels_starved", "gauge", "Priority levels that begin too seldom"),
     MetricSpec("upstreams", "gauge", "Registered upstreams by state", "state"),
     MetricSpec("upstreams_limited", "gauge", "Upstreams that named a limit"),
     MetricSpec("upstreams_resting", "gauge", "Upstreams that asked for a rest"),
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -92,6 +92,7 @@
             settings.node, self.state.observe_backpressure, log
         )
         self._relay = Relay(self.state, self._upstreams, log)
+        self._level_labels: frozenset[str] = frozenset()
         self._ingress = Ingress(self._relay, self._get_limits, log)
         self.registry = Registry(
             self._store,
@@ -283,6 +284,7 @@
         telemetry.set("upstreams_resting", len(self.state.upstream_gate.rests))
         telemetry.set("requests_running", self._ingress.active)
         telemetry.set("requests_waiting", self._relay.waiting)
+        self._update_urgency_gauges(now)
         telemetry.set("configuration_version", self.state.version)
         telemetry.set("store_away", self.registry.is_store_unavailable)
         telemetry.set("store_epoch", self._store.epoch)
@@ -291,6 +293,21 @@
         telemetry.set("store_views", self.peers.views_applied)
         telemetry.set("peers", len(self.peers.list_peer_addresses()))
 
+    def _update_urgency_gauges(self, now: float) -> None:
+        urgencies = self.state.urgencies
+        starved = 0
+        labels = dict.fromkeys(self._level_labels, 0)
+        for service in urgencies.list_services():
+            counts = self._relay.count_waiting(service)
+            for level in urgencies.list_levels(service):
+                labels[f"{service}.{level}"] = counts.get(level, 0)
+                starved += urgencies.is_starved(service, level, now)
+        # A level that a new configuration no longer names goes back to 0.
+        self._level_labels = frozenset(labels)
+        for label, count in labels.items():
+            self._telemetry.set("requests_waiting_by_level", count, label)
+        self._telemetry.set("levels_starved", starved)
+
     async def _run_maintenance(self) -> None:
         while True:
             due = trio.current_time() + MAINTENANCE_PERIOD
--- a/src/tarragonrudder/platform/upstream_client.py
+++ b/src/tarragonrudder/platform/upstream_client.py
@@ -53,6 +53,7 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 MISDIRECTED = 421
+MAX_PRIORITY = 9  # the least urgent one that an upstream knows
 # Called with an upstream, the status and headers of its answer, and whether these are
 # complete: what they don't name holds no more.
 HeadObserver: t.TypeAlias = t.Callable[
@@ -190,6 +191,9 @@
         headers = [(b"Expect-Instance", dispatch.upstream.name.encode("latin-1"))]
         if dispatch.account:
             headers.append((b"Tenant", dispatch.account.encode("latin-1")))
+        if dispatch.urgency is not None:
+            priority = min(MAX_PRIORITY, max(0, dispatch.urgency))
+            headers.append((b"Request-Priority", str(priority).encode()))
         if dispatch.hops:
             headers.append((b"Hop-Count", format_path(dispatch.hops)))
         return headers
