Draw among equal engines, so that nodes do not herd

Load pattern: tens of nodes choose among equal engines at once, on reports of up to two seconds ago. Cause: each took the engine that looked emptiest, so engines that were just added got most beginnings of all nodes.

Change: of the engines of one kind, range and data centre a search considers two, drawn among those with room that are neither slow nor limited. The line 'placed' tells how many links between data centres the path crosses.

--- a/src/tarragonrudder/core/forwarding/layer_cover.py
+++ b/src/tarragonrudder/core/forwarding/layer_cover.py
@@ -1,5 +1,6 @@
 """Search for the cheapest stages that together run a range of layers."""
 
+import random
 import typing as t
 from dataclasses import dataclass
 
@@ -7,6 +8,7 @@
 from tarragonrudder.core.domain.fleet import LayerRange
 
 MAX_HOPS = 32  # an engine refuses a longer path
+DRAWN_CANDIDATES = 2  # of equal ones; more would let nodes herd on old reports
 
 
 @dataclass(slots=True)
@@ -21,6 +23,8 @@
         Whether it has memory for the request.
     step_factor : float
         Factor by which its decode steps take longer than the profile states.
+    is_spared : bool
+        Whether it is used only where no other one is left: it is slow or named a limit.
     """
 
     name: str
@@ -31,6 +35,7 @@
     cost_per_layer: float
     has_capacity: bool
     step_factor: float
+    is_spared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,7 @@
     data_center: str,
     first_upstream: str | None,
     compute_crossing_cost: CrossingCost,
+    source: random.Random | None = None,
 ) -> list[Stage]:
     """Return the cheapest stages that run `layers` once, in order.
 
@@ -77,13 +83,15 @@
         Data centre that the work comes from.
     first_upstream : str or None
         Engine that must run layer 0.
+    source : random.Random or None
+        Draws among equal engines; None to consider all of them.
 
     Returns
     -------
     list of Stage
         Empty if some layer has no engine.
     """
-    kept = _drop_dominated(candidates, first_upstream)
+    kept = _choose_candidates(candidates, first_upstream, source)
     end = layers.last + 1
     holders = _list_holders(kept, layers)
     # Cheapest way to each layer, by the data centre in which it ends.
@@ -121,17 +129,25 @@
     return _backtrack(min(finals.values(), key=lambda partial: partial.cost), end)
 
 
-def _drop_dominated(
-    candidates: t.Iterable[Candidate], first_upstream: str | None
+def _choose_candidates(
+    candidates: t.Iterable[Candidate],
+    first_upstream: str | None,
+    source: random.Random | None,
 ) -> list[Candidate]:
-    """Drop candidates for which another of the same range is cheaper throughout."""
-    groups: dict[tuple[int, int, str], list[Candidate]] = {}
+    """Return the candidates worth a search, of each kind, range and data centre.
+
+    Of many equal ones `DRAWN_CANDIDATES` are drawn; then those are dropped for which
+    another one is cheaper throughout.
+    """
+    groups: dict[tuple[int, int, str, float], list[Candidate]] = {}
     for candidate in candidates:
         layers = candidate.layers
-        key = (layers.first, layers.last, candidate.data_center)
+        key = (layers.first, layers.last, candidate.data_center, candidate.step_factor)
         groups.setdefault(key, []).append(candidate)
     kept = []
     for group in groups.values():
+        if source is not None and len(group) > DRAWN_CANDIDATES:
+            group = _draw_candidates(group, first_upstream, source)
         if len(group) > 1:
             group.sort(key=_get_fixed_cost)
         lowest = float("inf")
@@ -142,6 +158,25 @@
     return kept
 
 
+def _draw_candidates(
+    group: list[Candidate], first_upstream: str | None, source: random.Random
+) -> list[Candidate]:
+    """Draw candidates with room that needn't be spared, else the next best.
+
+    Load pattern: tens of nodes choose among equal engines at once, on reports that are
+    seconds old. The engine that looks emptiest would get the beginnings of all.
+    """
+    eligible = [each for each in group if each.has_capacity and not each.is_spared]
+    if not eligible:
+        eligible = [each for each in group if each.has_capacity] or group
+    drawn = source.sample(eligible, min(DRAWN_CANDIDATES, len(eligible)))
+    if first_upstream is not None:
+        drawn.extend(
+            each for each in group if each.name == first_upstream and each not in drawn
+        )
+    return drawn
+
+
 def _get_fixed_cost(candidate: Candidate) -> float:
     return candidate.fixed_cost
 
--- a/src/tarragonrudder/core/forwarding/path.py
+++ b/src/tarragonrudder/core/forwarding/path.py
@@ -34,6 +34,8 @@
 # Cost of a stage that named a limit: an upstream in need is spared while others have
 # room.
 LIMITED_PENALTY = 0.3
+# Penalty for slowness from which on an engine is spared: more than chance makes of it.
+SPARED_PENALTY = 1.25
 # Counted part of a stage's memory above which it is full. It may exceed 1, as
 # requests are counted with their whole answers, of which half is written on average.
 FULL_THRESHOLD = 1.05
@@ -207,6 +209,7 @@
             data_center,
             demand.first_upstream,
             compute_crossing_cost,
+            self._random,
         )
 
     def _make_path(self, stages: t.Sequence[Stage]) -> Path:
@@ -278,7 +281,9 @@
         """Return a stage with its fixed cost and its cost per layer for a request."""
         requests, held_tokens = self._usage_tracker.count(engine.name)
         latency = 1.0 + JITTER * self._random.random()
-        latency *= self._slowness.penalty(engine.name)
+        penalty = self._slowness.penalty(engine.name)
+        latency *= penalty
+        is_limited = len(self._limits) > 0 and engine.incarnation in self._limits
         tokens = held_tokens + demand.prompt_tokens + demand.answer_tokens
         fill_ratio = tokens / holding.full_tokens
         has_capacity = fill_ratio <= 1.0
@@ -287,7 +292,7 @@
             fixed_cost += holding.memory_cost * fill_ratio * fill_ratio
         else:
             fixed_cost += holding.memory_cost + FULL_PENALTY * fill_ratio
-        if len(self._limits) and engine.incarnation in self._limits:
+        if is_limited:
             fixed_cost += LIMITED_PENALTY
         return Candidate(
             engine.name,
@@ -298,6 +303,7 @@
             latency * (holding.layer_time + holding.batch_time * requests),
             has_capacity,
             holding.step_factor,
+            is_limited or penalty > SPARED_PENALTY,
         )
 
     def _compute_crossing_cost(
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -262,6 +262,7 @@
                 "placed",
                 job.request.request_id,
                 path=path.describe(),
+                crossings=len(path.links),
                 cost=round(path.cost, 3),
                 send=job.sends,
                 last=self._answer.last_event,
