Tell refused callers to return when their turn comes

Cause: a stream that found all paths full was told to come back after 0.75 to 1.5 s, whatever the backlog. Callers return once or twice, so that those refused in a crest of demand came back into it together and were lost, though the trough behind it had room.

Change: a node counts how many of its streams ended of late; from that and from who waits in its line follows when a refused request's turn would come. Retry-After says so; each refusal books a place behind the others of its level and the more urgent, so that callers return spread out, within the third of their time left that they wait. Without three ends of late, and for missing layers, the former values hold. New metric room_freed.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -22,6 +22,7 @@
 )
 from tarragonrudder.core.forwarding.peer_table import PeerTable
 from tarragonrudder.core.forwarding.reachability import Finding, Reachability
+from tarragonrudder.core.forwarding.room import RoomEstimator
 from tarragonrudder.core.forwarding.upstream_gate import Shortage, UpstreamGate
 from tarragonrudder.core.forwarding.upstream_limits import LimitReport
 from tarragonrudder.core.forwarding.upstream_table import Registration, UpstreamTable
@@ -110,6 +111,7 @@
         self._unconfirmed_crashes: list[tuple[tuple[Trait, ...], str]] = []
         self.usage_tracker = UsageTracker()
         self.urgencies = Urgencies()
+        self.room = RoomEstimator(source)
         self.retry_budget = retry_budget
         self.crash_tracker = CrashTracker()
         self._reported_blocks: frozenset[Trait] = frozenset()
@@ -246,6 +248,7 @@
         now: float,
         is_relayed: bool = False,
         urgency: int | None = None,
+        ahead: int | None = None,
     ) -> Path | Problem | Wait:
         """Return the path of a stream's next attempt, or why there is none.
 
@@ -263,6 +266,8 @@
             Whether it came from another node, and must not be passed on once more.
         urgency : int or None
             Priority level; None if the service has only one.
+        ahead : int or None
+            Requests that wait before it; None if unknown.
         """
         blocked = self.refuse_blocked(request, may_have_run, now)
         if blocked is not None:
@@ -310,8 +315,8 @@
         if shortage is not None:
             return self._refuse_shortage(shortage)
         if path is not None:
-            return Overloaded(
-                "all paths are full", retry_after=self._add_jitter(FULL_RETRY_AFTER)
+            return self.refuse_full(
+                "all paths are full", request, route, service, ahead, now, urgency
             )
         return NoChain(
             "some layers have no upstream",
@@ -339,15 +344,33 @@
             return since + RESUME_WAIT
         return since + PATH_WAIT_SHARE * route.first_byte_target
 
-    def refuse_waiting(self) -> Problem:
-        """Return the error of a request that came while too many others waited."""
-        after = self._add_jitter(FULL_RETRY_AFTER)
-        return Overloaded("too many requests wait for a path", retry_after=after)
+    def refuse_full(
+        self,
+        message: str,
+        request: ForwardedRequest,
+        route: Route,
+        service: str,
+        ahead: int | None,
+        now: float,
+        urgency: int | None = None,
+    ) -> Problem:
+        """Return the error of a request without room, with the time of its turn.
 
-    def refuse_displaced(self) -> Problem:
-        """Return the error of a waiting request whose place a more urgent one took."""
-        after = self._add_jitter(FULL_RETRY_AFTER)
-        return Overloaded("a more urgent request took its place", retry_after=after)
+        Parameters
+        ----------
+        ahead : int or None
+            Requests that wait before it; None if unknown.
+        """
+        limit = route.timeout
+        if request.timeout is not None:
+            limit = min(limit, request.timeout)
+        time_left = max(0.0, request.arrived + limit - now)
+        after = None
+        if ahead is not None:
+            after = self.room.book_return(service, urgency, ahead, time_left, now)
+        if after is None:
+            after = self._add_jitter(FULL_RETRY_AFTER)
+        return Overloaded(message, retry_after=round(after, 2))
 
     def refuse_retry(self) -> Problem:
         """Return the error of a stream for which no retry is left in the budget."""
--- a/src/tarragonrudder/core/forwarding/wait_queue.py
+++ b/src/tarragonrudder/core/forwarding/wait_queue.py
@@ -76,6 +76,15 @@
             for waiter in self._waiters
         )
 
+    def count_ahead(self, waiter: Waiter) -> int:
+        """Return how many others as urgent, or more, wait for the same service."""
+        return sum(
+            other.service == waiter.service
+            and other is not waiter
+            and (other.is_resumed or other.level <= waiter.level)
+            for other in self._waiters
+        )
+
     def count_by_level(self, service: str) -> dict[int, int]:
         """Return how many requests of each level wait for a service."""
         counts: dict[int, int] = {}
--- a/src/tarragonrudder/edges/path_waiters.py
+++ b/src/tarragonrudder/edges/path_waiters.py
@@ -38,6 +38,10 @@
         """Tell whether a new request would overtake another one as urgent."""
         return self._queue.has_line(service, urgency)
 
+    def count_ahead(self, waiter: Waiter) -> int:
+        """Return how many others as urgent, or more, wait for the same service."""
+        return self._queue.count_ahead(waiter)
+
     def count_by_level(self, service: str) -> dict[int, int]:
         """Return how many requests of each level wait for a service."""
         return self._queue.count_by_level(service)
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -28,6 +28,9 @@
 # searched for.
 REPLACE_PERIOD = 0.5
 
+LINE_FULL_MESSAGE = "too many requests wait for a path"
+DISPLACED_MESSAGE = "a more urgent request took its place"
+
 
 class Streams:
     """Serves streams, each by one or more attempts."""
@@ -56,6 +59,9 @@
         finally:
             self._stall_prober.remove_listener(stream)
             stream.close()
+            if job.may_have_run:
+                room = self._sender.state.room
+                room.note_end(job.service, trio.current_time())
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,14 +214,14 @@
         held = False
         has_line = self._path_waiters.has_line(job.service, job.urgency)
         if not job.may_have_run and has_line:
-            if not self._path_waiters.make_place(waiter):
-                return self._state.refuse_waiting()
             waiter.expires_at = self._state.compute_wait_end(job.route, since)
+            if not self._path_waiters.make_place(waiter):
+                return self._refuse_full(LINE_FULL_MESSAGE, waiter)
             await self._path_waiters.wait_turn(waiter, waiter.expires_at)
         while True:
             if waiter.is_displaced:
                 self._sender.log_displaced(job)
-                return self._state.refuse_displaced()
+                return self._refuse_full(DISPLACED_MESSAGE, waiter)
             found = self._state.find_path(
                 job.request,
                 job.route,
@@ -227,6 +233,7 @@
                 trio.current_time(),
                 bool(job.relayed_by),
                 job.urgency,
+                self._path_waiters.count_ahead(waiter),
             )
             if not isinstance(found, Wait):
                 return found
@@ -240,6 +247,17 @@
             else:
                 await trio.sleep_until(until)
 
+    def _refuse_full(self, message: str, waiter: Waiter) -> Problem:
+        return self._state.refuse_full(
+            message,
+            self._job.request,
+            self._job.route,
+            self._job.service,
+            self._path_waiters.count_ahead(waiter),
+            trio.current_time(),
+            self._job.urgency,
+        )
+
     async def _send(self, path: Path) -> bool:
         """Send the request over a path; return whether the attempt is open."""
         job = self._job
--- a/src/tarragonrudder/edges/telemetry.py
+++ b/src/tarragonrudder/edges/telemetry.py
@@ -47,6 +47,7 @@
         "Requests that wait, by service and priority level",
         "level",
     ),
+    MetricSpec("room_freed", "gauge", "Streams that ended, a second", "service"),
     MetricSpec("levels_starved", "gauge", "Priority levels that begin too seldom"),
     MetricSpec("upstreams", "gauge", "Registered upstreams by state", "state"),
     MetricSpec("upstreams_limited", "gauge", "Upstreams that named a limit"),
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -284,7 +284,7 @@
         telemetry.set("upstreams_resting", len(self.state.upstream_gate.rests))
         telemetry.set("requests_running", self._ingress.active)
         telemetry.set("requests_waiting", self._relay.waiting)
-        self._update_urgency_gauges(now)
+        self._update_line_gauges(now)
         telemetry.set("configuration_version", self.state.version)
         telemetry.set("store_away", self.registry.is_store_unavailable)
         telemetry.set("store_epoch", self._store.epoch)
@@ -293,7 +293,7 @@
         telemetry.set("store_views", self.peers.views_applied)
         telemetry.set("peers", len(self.peers.list_peer_addresses()))
 
-    def _update_urgency_gauges(self, now: float) -> None:
+    def _update_line_gauges(self, now: float) -> None:
         urgencies = self.state.urgencies
         starved = 0
         labels = dict.fromkeys(self._level_labels, 0)
@@ -307,6 +307,8 @@
         for label, count in labels.items():
             self._telemetry.set("requests_waiting_by_level", count, label)
         self._telemetry.set("levels_starved", starved)
+        for service, rate in self.state.room.measure_rates(now).items():
+            self._telemetry.set("room_freed", round(rate, 3), service)
 
     async def _run_maintenance(self) -> None:
         while True:
