Let requests wait for a configuration from the first one on

After a restart of all nodes the connections in the queue of the early listener were served as soon as it was read, before the relay had been started: the time until which requests may wait was not set yet, so each of them was refused at once.

The time is now set by whoever comes first. The new test failed before.

--- a/src/tarragonrudder/edges/relay.py
+++ b/src/tarragonrudder/edges/relay.py
@@ -4,7 +4,6 @@
 what happened.
 """
 
-import math
 import typing as t
 from dataclasses import dataclass, replace
 
@@ -75,11 +74,11 @@
         self._path_waiters = PathWaiters(state.urgencies)
         self._streams = Streams(sender, self._stall_prober, self._path_waiters)
         self._configured = trio.Event()
-        self._start_until = -math.inf
+        self._start_until: float | None = None
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Start tasks that outlive a request."""
-        self._start_until = trio.current_time() + START_PERIOD
+        self._note_start()
         self._stall_prober.start(tasks)
         self._path_waiters.start(tasks)
 
@@ -185,9 +184,15 @@
         wait = START_WAIT
         if request.timeout is not None:
             wait = min(wait, START_WAIT_SHARE * request.timeout)
-        with trio.move_on_at(min(self._start_until, request.arrived + wait)):
+        with trio.move_on_at(min(self._note_start(), request.arrived + wait)):
             await self._configured.wait()
 
+    def _note_start(self) -> float:
+        """Return until when requests may wait; the first of them may come first."""
+        if self._start_until is None:
+            self._start_until = trio.current_time() + START_PERIOD
+        return self._start_until
+
     def _handle_timeout(self, job: Job) -> Problem:
         self._handle_hanging(job)
         if job.may_have_run:
--- a/tests/site/test_early_requests.py
+++ b/tests/site/test_early_requests.py
@@ -10,8 +10,9 @@
 
 from tarragonrudder.edges.relay import START_PERIOD
 from tarragonrudder.platform import protocol
-from tarragonrudder.platform.early_listener import open_early_listener
-from tests.site.site import make_configuration, open_site
+from tarragonrudder.platform.daemon import PlatformDaemon
+from tarragonrudder.platform.early_listener import listen, open_early_listener
+from tests.site.site import Node, make_configuration, open_site, send_request
 from tests.site.upstream import UpstreamStandIn
 from tests.standins.cluster import find_ports
 
@@ -96,6 +97,27 @@
         assert answer.status == 200
 
 
+async def test_request_that_waits_in_the_queue_of_the_listener_is_served():
+    # It was read before the relay had started, and refused at once.
+    async with open_site() as site:
+        await site.add(UpstreamStandIn("p1", service="plain"))
+        settings = Node(site).settings
+        host, _, port = settings.listen.front.rpartition(":")
+        listener = listen(host, int(port))
+        answers = []
+
+        async def ask(stream):
+            answers.append(await send_request(stream, "/look/1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, await trio.open_tcp_stream(host, int(port)))
+            await trio.sleep(0.05)
+            (metrics_port,) = find_ports(1, settings.ip)
+            daemon = PlatformDaemon(None, settings, metrics_port, listener)
+            site.nursery.start_soon(daemon.run)
+        assert [answer.status for answer in answers] == [200]
+
+
 @pytest.mark.parametrize(
     "text",
     ["", "[listen", "[listen]\n", '[listen]\nfront = "nowhere"\n', "listen = 3\n"]
