Pass the events of a stream on within one wait

Cause: each event entered and left a cancel scope, went through two calls of the stream's loop, and yielded to the scheduler once more after its write. Change: while a stream has one attempt, which is the source of its answer, events are read and passed on within one wait scope, whose deadline moves. It can end no write: its deadline is off and a wake-up is only noted meanwhile. A part of a body is written at once as far as the kernel takes it, without a turn of other tasks; the read that follows waits for data and so gives one. Ruled out: sending outside of Reply.send, by a call that returns what was not taken; tests hook a slow write there, and a wake-up during it is worth checking. A timer task for each stream: it runs once a stall timeout, some 2.7 events.

--- a/src/tarragonrudder/edges/connection.py
+++ b/src/tarragonrudder/edges/connection.py
@@ -16,6 +16,7 @@
 
 from tarragonrudder.core.domain.address import split_address
 from tarragonrudder.core.domain.route import CallerLimits
+from tarragonrudder.edges.socket_io import send_now
 
 READ_BYTES = 64 * 1024  # per read; fits a typical request or answer
 MAX_HEADER_BYTES = 32 * 1024  # of an upstream's answer
@@ -319,8 +320,14 @@
         await self._send(h11.Response(status_code=status, headers=headers))
 
     async def send_body(self, data: bytes) -> None:
-        """Send a part of the body."""
-        await self._send(h11.Data(data=data))
+        """Send a part of the body; no other task runs if it is taken at once."""
+        framed = self._http.send(h11.Data(data=data)) or b""
+        try:
+            sent = send_now(self._stream.socket, framed)
+        except OSError as error:
+            raise CallerDisconnected(str(error)) from error
+        if sent < len(framed):
+            await self._write(framed[sent:])
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer, in one write if the kernel takes it."""
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -104,7 +104,7 @@
         self._source: StreamAttempt | None = None  # yielded the latest data
         self._replacement: Replacement | None = None
         self._replace_at = 0.0
-        self._wait_scope = trio.CancelScope()
+        self._wait_scope: trio.CancelScope | None = None
         self._woken = False
 
     @property
@@ -115,7 +115,8 @@
     def wake(self) -> None:
         """Interrupt the wait for an event, to check the path's stages."""
         self._woken = True
-        self._wait_scope.cancel()
+        if self._wait_scope is not None:
+            self._wait_scope.cancel()
 
     def close(self) -> None:
         """Close all attempts."""
@@ -166,9 +167,11 @@
             # Data that yields no event is no progress.
             since = max(checked_at, newest.stall_handler.last_progress_at)
             results = await self._wait(since + stall_timeout)
-            if not results:
+            if not results and self._attempts:
                 self._woken = False
                 checked_at = trio.current_time()
+                # Events may have been passed on since.
+                stall_timeout = self._answer.compute_stall_timeout(newest)
                 may_replace = checked_at >= self._replace_at
                 if await newest.stall_handler.handle_stall(stall_timeout, may_replace):
                     self._replacement = Replacement()
@@ -293,7 +296,8 @@
         Returns
         -------
         list
-            Empty if a stall timeout has passed, or after `wake`.
+            Empty if a stall timeout has passed, after `wake`, or if the only attempt
+            broke off.
         """
         results: list[_Opened | _Arrived] = []
         replacement = self._replacement
@@ -304,9 +308,8 @@
             self._wait_scope = scope
         with scope:
             if len(self._attempts) == 1 and replacement is None:
-                attempt = self._attempts[0]
-                results.append(_Arrived(attempt, await attempt.receive()))
-                return results
+                arrived = await self._follow(self._attempts[0], scope)
+                return [arrived] if arrived is not None else []
             async with trio.open_nursery() as nursery:
                 for attempt in self._attempts:
                     nursery.start_soon(
@@ -318,6 +321,45 @@
                     )
         return results
 
+    async def _follow(
+        self, attempt: StreamAttempt, scope: trio.CancelScope
+    ) -> _Arrived | None:
+        """Pass on the events of the only attempt within one wait scope.
+
+        Load pattern: tens of events a stream, each by itself; most need nothing but a
+        later stall timeout.
+
+        Returns
+        -------
+        _Arrived or None
+            What is no event, to be handled outside of the scope; None after `wake`, or
+            if the attempt broke off.
+        """
+        until = scope.deadline
+        while True:
+            received = await attempt.receive()
+            # Neither the timeout nor `wake` may cut off the write of an event.
+            scope.deadline = math.inf
+            if scope.cancel_called or not self._is_next_part(attempt, received):
+                return _Arrived(attempt, received)
+            self._wait_scope = None
+            progress_at = attempt.stall_handler.last_progress_at
+            await self._handle_received(attempt, received)
+            if self._woken or not self._attempts:
+                return None
+            if attempt.stall_handler.last_progress_at > progress_at:
+                timeout = self._answer.compute_stall_timeout(attempt)
+                until = attempt.stall_handler.last_progress_at + timeout
+            self._wait_scope = scope
+            scope.deadline = until
+
+    def _is_next_part(self, attempt: StreamAttempt, received: Received) -> bool:
+        """Tell whether a part goes on with what the caller gets from its attempt."""
+        if self._source is not attempt or not isinstance(received, bytes):
+            return False
+        response = attempt.response
+        return bool(received) and response is not None and response.success
+
     async def _wait_received(
         self,
         attempt: StreamAttempt,
@@ -350,7 +392,7 @@
     ) -> bool:
         """Forward what was received; return whether the answer ended.
 
-        Runs outside the wait scope: a write that is cut off would corrupt the answer.
+        The wait scope must not end it: a write that is cut off corrupts the answer.
         """
         try:
             match received:
