Keep what each event of a stream would compute anew

Cause: each event built the tuple of its path's upstreams, ended the prefill count of links again, went through a buffer though it came whole, and was split into lines to find its number. Change: PathLoad keeps the names; the prefill count ends once; a part that is one whole event is taken as it is; the number is looked up in place, and the line that begins a status is a constant.

--- a/src/tarragonrudder/core/forwarding/event_sequence.py
+++ b/src/tarragonrudder/core/forwarding/event_sequence.py
@@ -4,6 +4,8 @@
 MAX_EVENT_BYTES = 1 << 20
 MAX_NUMBER_DIGITS = 18  # of an event's number; fits in 64 bits
 STATUS_LINE = b"HTTP/1."  # begins no field of an event, but the head of another answer
+LATER_STATUS_LINE = b"\n" + STATUS_LINE
+NUMBER_FIELD = b"id:"
 
 
 class SequenceError(Exception):
@@ -36,6 +38,9 @@
         SequenceError
             If an event is too long.
         """
+        end = data.find(SEPARATOR)
+        if not self._partial and 0 <= end == len(data) - len(SEPARATOR):
+            return [data]
         searched = max(0, len(self._partial) - 1)
         self._partial += data
         end = self._partial.rfind(SEPARATOR, searched)
@@ -78,7 +83,7 @@
             If the event has no number or holds another answer, if its attempt has
             repeated it, or if one before it is missing.
         """
-        if event.startswith(STATUS_LINE) or b"\n" + STATUS_LINE in event:
+        if event.startswith(STATUS_LINE) or LATER_STATUS_LINE in event:
             raise SequenceError("an event holds the head of another answer")
         number = _read_number(event)
         if number is None:
@@ -97,11 +102,13 @@
 
 
 def _read_number(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
-        if not line.startswith(b"id:"):
-            continue
-        text = line[3:].strip()
-        if not text.isdigit() or len(text) > MAX_NUMBER_DIGITS:
+    start = 0
+    if not event.startswith(NUMBER_FIELD):
+        start = event.find(b"\n" + NUMBER_FIELD) + 1
+        if start == 0:
             return None
-        return int(text)
-    return None
+    end = event.find(b"\n", start)
+    text = event[start + len(NUMBER_FIELD) : end if end >= 0 else None].strip()
+    if not text.isdigit() or len(text) > MAX_NUMBER_DIGITS:
+        return None
+    return int(text)
--- a/src/tarragonrudder/edges/path_load.py
+++ b/src/tarragonrudder/edges/path_load.py
@@ -17,6 +17,7 @@
         self._usage_tracker = usage_tracker
         self._tokens = tokens
         self._path: Path | None = None
+        self._names: tuple[str, ...] = ()
         self._prefill_links: tuple[str, ...] = ()
 
     @property
@@ -29,13 +30,14 @@
     @property
     def names(self) -> tuple[str, ...]:
         """Upstreams of the current path, if any."""
-        return self._path.names if self._path is not None else ()
+        return self._names
 
     def switch_to(self, path: Path) -> None:
         """Count the stream on a new path instead of the current one."""
         self.release()
         self._path = path
-        self._usage_tracker.start(path.names, self._tokens)
+        self._names = path.names
+        self._usage_tracker.start(self._names, self._tokens)
         self._usage_tracker.start(path.links, self._tokens)
         self._prefill_links = path.links
 
@@ -43,10 +45,12 @@
         """Stop counting the stream."""
         self.finish_prefill()
         if self._path is not None:
-            self._usage_tracker.finish(self._path.names, self._tokens)
+            self._usage_tracker.finish(self._names, self._tokens)
         self._path = None
+        self._names = ()
 
     def finish_prefill(self) -> None:
         """Stop counting the prompt on the path's links, which it has crossed."""
-        self._usage_tracker.finish(self._prefill_links, self._tokens)
-        self._prefill_links = ()
+        if self._prefill_links:
+            self._usage_tracker.finish(self._prefill_links, self._tokens)
+            self._prefill_links = ()
--- a/src/tarragonrudder/edges/stream_answer.py
+++ b/src/tarragonrudder/edges/stream_answer.py
@@ -5,7 +5,6 @@
 from tarragonrudder.core.domain.forwarded_request import Accepted
 from tarragonrudder.core.forwarding.event_gaps import EventGaps
 from tarragonrudder.core.forwarding.event_sequence import EventSequence, SequenceError
-from tarragonrudder.core.forwarding.path import Path
 from tarragonrudder.core.forwarding.state import SOUND_EVENTS
 from tarragonrudder.edges.job import MAX_ANSWER_BYTES, AnswerTooLarge, Job, Sender
 from tarragonrudder.edges.relay_interfaces import Reply
@@ -126,10 +125,10 @@
         attempt.stall_handler.last_progress_at = now
         attempt.path_load.finish_prefill()
         self._event_gaps.add(now)
-        self._state.upstream_table.note_progress(attempt.path.names, now)
-        self._observe_gap(attempt.path, now)
+        self._state.upstream_table.note_progress(attempt.path_load.names, now)
+        self._observe_gap(attempt, now)
 
-    def _observe_gap(self, path: Path, now: float) -> None:
+    def _observe_gap(self, attempt: StreamAttempt, now: float) -> None:
         count, since = self._gap_sample
         if since == 0.0:
             self._gap_sample = (0, now)
@@ -137,4 +136,4 @@
             self._gap_sample = (count + 1, since)
         else:
             self._gap_sample = (0, now)
-            self._state.observe_gap(path, (now - since) / (count + 1))
+            self._state.observe_gap(attempt.path, (now - since) / (count + 1))
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -110,7 +110,7 @@
     @property
     def stages(self) -> t.Container[str]:
         """Upstreams that the open attempts depend on."""
-        return {name for each in self._attempts for name in each.path.names}
+        return {name for each in self._attempts for name in each.path_load.names}
 
     def wake(self) -> None:
         """Interrupt the wait for an event, to check the path's stages."""
