Write requests and whole answers at once, as far as they are taken

Cause: each went through a trio stream or socket, which yields to the scheduler once more after a write that the kernel has taken whole. Change: the first write of a request to an upstream and of a whole answer to a caller is tried at once, as for parts of a stream; only a rest is waited for and watched.

--- a/src/tarragonrudder/edges/connection.py
+++ b/src/tarragonrudder/edges/connection.py
@@ -149,8 +149,10 @@
             if body:
                 data += self._http.send(h11.Data(data=body)) or b""
             data += self._http.send(h11.EndOfMessage()) or b""
-            await self._stream.send_all(data)
-        except (*STREAM_ERRORS, h11.LocalProtocolError) as error:
+            sent = send_now(self._stream.socket, data)
+            if sent < len(data):
+                await self._stream.send_all(data[sent:])
+        except (OSError, *STREAM_ERRORS, h11.LocalProtocolError) as error:
             raise BrokenConnection(f"{self.address}: {error}") from error
 
     async def read_head(self) -> ResponseHead:
@@ -352,10 +354,7 @@
     async def send_body(self, data: bytes) -> None:
         """Send a part of the body; no other task runs if it is taken at once."""
         framed = self._http.send(h11.Data(data=data)) or b""
-        try:
-            sent = send_now(self._stream.socket, framed)
-        except OSError as error:
-            raise CallerDisconnected(str(error)) from error
+        sent = self._write_now(framed)
         if sent < len(framed):
             await self._write(framed[sent:])
 
@@ -432,9 +431,16 @@
         except STREAM_ERRORS as error:
             raise CallerDisconnected(str(error)) from error
 
+    def _write_now(self, data: bytes) -> int:
+        """Write what is taken at once; return the number of bytes."""
+        try:
+            return send_now(self._stream.socket, data)
+        except OSError as error:
+            raise CallerDisconnected(str(error)) from error
+
     async def _write_watched(self, data: bytes) -> None:
         """Write data and report each progress to `on_progress`."""
-        sent = 0
+        sent = self._write_now(data)
         try:
             while sent < len(data):
                 rest = memoryview(data)[sent:]
