Bound the pieces of kept changes, and not their text alone

Cause: a version that reorders thousands of routes is a change of little text and thousands of pieces; 64 of them would be kept, some 12 MB (reckoned).

Change: the size of a change counts 100 bytes a piece, so all kept changes are within 128 KB of memory. The test of a small change names its text and its pieces, each by its own bound as before.

--- a/src/tarragonrudder/core/membership/document_history.py
+++ b/src/tarragonrudder/core/membership/document_history.py
@@ -10,7 +10,8 @@
 SEPARATOR = b"},"
 MAX_DOCUMENT_BYTES = 16 << 20
 MAX_CHANGES = 64
-MAX_HISTORY_BYTES = 128 << 10  # of the text that the kept changes add
+MAX_HISTORY_BYTES = 128 << 10  # of all kept changes in memory
+PIECE_BYTES = 100  # of a piece in memory, beside its text
 
 Piece: t.TypeAlias = tuple[int, int] | bytes
 
@@ -38,8 +39,9 @@
 
     @property
     def size(self) -> int:
-        """Bytes of new text."""
-        return sum(len(piece) for piece in self.pieces if isinstance(piece, bytes))
+        """Bytes in memory, roughly."""
+        texts = (piece for piece in self.pieces if isinstance(piece, bytes))
+        return PIECE_BYTES * len(self.pieces) + sum(map(len, texts))
 
 
 class DocumentHistory:
--- a/tests/test_document_history.py
+++ b/tests/test_document_history.py
@@ -73,7 +73,7 @@
 def test_change_of_one_route_is_small(case):
     routes = make_routes(1500)
     change = compare_documents(encode(1, routes), encode(2, CHANGES[case](routes)))
-    assert change.size < 300
+    assert sum(len(each) for each in change.pieces if isinstance(each, bytes)) < 300
     assert len(change.pieces) <= 5
 
 
@@ -114,6 +114,19 @@
     assert history.list_since(compute_digest(before)) is None
 
 
+def test_history_of_scattered_changes_is_bounded():
+    # Their texts are short, and their pieces many.
+    history = DocumentHistory()
+    routes = make_routes(1000)
+    texts = [encode(0, routes), encode(0, routes[::-1])]
+    for _ in range(MAX_CHANGES):
+        history.note(*texts)
+        texts.reverse()
+    kept = history.list_since(compute_digest(texts[0])) or ()
+    kept += history.list_since(compute_digest(texts[1])) or ()
+    assert sum(len(change.pieces) for change in kept) * 64 < MAX_HISTORY_BYTES
+
+
 def test_chain_with_a_gap_starts_anew():
     history = DocumentHistory()
     texts = [encode(version, make_routes(10)) for version in range(1, 6)]
