Don't fail when two fetches lose the same near peer

Cause: a fetch that waits for another one longer than 0.1 s goes on beside it; if both ask the same peer of the own data centre and it is gone, the second forgot it a second time, which raised KeyError and ended the exchange.

Change: the second time does nothing.

Before and after: the test failed with KeyError; it passes.

--- a/src/tarragonrudder/platform/configuration_exchange.py
+++ b/src/tarragonrudder/platform/configuration_exchange.py
@@ -161,7 +161,7 @@
         try:
             await self._fetch_from(address)
         except httpx.HTTPError:
-            del self._near[address]
+            self._near.pop(address, None)
         return version <= self._registry.version
 
     async def _fetch_from(self, address: str) -> None:
--- a/tests/site/test_configuration_exchange.py
+++ b/tests/site/test_configuration_exchange.py
@@ -227,6 +227,21 @@
     assert registry.version == 4
 
 
+async def test_two_fetches_from_a_lost_peer_go_on_to_the_tellers(autojump_clock):
+    async def call(method, address, name, params):
+        await trio.sleep(2 * FETCH_PATIENCE)
+        if address == "near:1":
+            raise httpx.ConnectError("no answer")
+        return respond(encode_whole(SECOND), WHOLE_TYPE)
+
+    fetcher, registry = make_fetcher(call)
+    fetcher.note_version("near:1", "zone-a", 4)
+    async with trio.open_nursery() as nursery:
+        for number in range(2):
+            nursery.start_soon(fetcher.fetch, f"far:{number}", 4)
+    assert registry.version == 4
+
+
 async def test_changes_of_several_versions_are_passed_on():
     history = make_registry()
     for text in (FIRST, SECOND, THIRD):
