Plan paths by learned lengths of answers, and tell peers

Load pattern: answers of one kind differ widely in length; engines that got the long ones are still busy when the others are empty.

Cause: a path was planned by what the request declares, never by what was seen. Declared lengths are off by a factor for a single request.

Change: streams that end or break off teach their node the length of answers of their route; a request is planned with the length to expect, and needs memory for what nine of ten such answers stay below. Nodes tell each other their sums at most every two seconds, in an optional field that builds before ignore; rows that can't be right are left out with a line 'lengths_dropped'. Routes with few answers are planned as declared, as before.

--- a/src/tarragonrudder/core/forwarding/answer_lengths.py
+++ b/src/tarragonrudder/core/forwarding/answer_lengths.py
@@ -11,7 +11,7 @@
 SHARE_PERIOD = 2.0  # seconds between two messages that tell the sums
 HALF_LIFE = 120.0  # seconds in which an answer loses half of its weight
 MIN_WEIGHT = 20.0  # answers from which on a route's lengths are learned
-REFIT_PERIOD = 0.5  # seconds for which a fit is kept; peers tell no sooner
+REFIT_PERIOD = 2.0  # seconds for which sums over all nodes and fits are kept
 PRIOR_WEIGHT = 8.0  # answers that the prior is worth
 PRIOR_SPREAD = 0.7  # standard deviation of a logarithm, of declared and real lengths
 PRIOR_VARIANCE = 0.25  # of the logarithm of declared lengths
@@ -127,6 +127,15 @@
             return max(1, round(mean * length.tokens_per_event))
 
 
+def compute_mean_events(length: AnswerLength) -> float | None:
+    """Return the events that an answer is expected to have, None if not learned."""
+    match length:
+        case Declared():
+            return None
+        case Learned():
+            return _compute_limited_mean(length, length.max_events)
+
+
 def compute_reserve(length: AnswerLength) -> int:
     """Return the tokens that nine of ten such answers stay below."""
     match length:
@@ -167,7 +176,8 @@
         self._peers: dict[str, tuple[float, dict[LengthKey, LengthSums]]] = {}
         self._shared_at = -math.inf
         self._fits: dict[LengthKey, _Fit | None] = {}
-        self._fitted_at = -math.inf
+        self._totals: dict[LengthKey, LengthSums] = {}
+        self._summed_at = -math.inf
 
     def observe(
         self,
@@ -220,11 +230,10 @@
             Mean tokens of the service's answers, by the configuration.
         """
         fallback = declared if key.is_declared else int(usual)
-        if now - self._fitted_at > REFIT_PERIOD:
-            self._fits.clear()
-            self._fitted_at = now
+        if now - self._summed_at > REFIT_PERIOD:
+            self._sum_up(now)
         if key not in self._fits:
-            self._fits[key] = self._fit(key, usual, now)
+            self._fits[key] = self._fit(key, usual)
         fit = self._fits[key]
         if fit is None or declared < 1:
             return Declared(min(bound, fallback))
@@ -235,10 +244,9 @@
             fit.event_size,
         )
 
-    def count_learned(self, now: float) -> int:
+    def count_learned(self) -> int:
         """Return the routes whose answers are planned as learned."""
-        keys = self._list_keys()
-        return sum(self._sum_up(key, now).weight >= MIN_WEIGHT for key in keys)
+        return sum(sums.weight >= MIN_WEIGHT for sums in self._totals.values())
 
     def snapshot(self, now: float) -> dict[LengthKey, LengthSums]:
         """Return this node's own sums to be told to a peer; mostly empty."""
@@ -262,29 +270,29 @@
             del self._peers[next(iter(self._peers))]
         self._peers[node] = (now, dict(rows))
 
-    def _sum_up(self, key: LengthKey, now: float) -> LengthSums:
-        total = LengthSums()
-        known = self._own.get(key)
-        if known is not None:
-            total = known[1].scale(_compute_ageing(now - known[0]))
+    def _sum_up(self, now: float) -> None:
+        """Sum over all nodes what was learned, and drop what was fitted to it."""
+        totals: dict[LengthKey, LengthSums] = {}
+        for key, (at, sums) in self._own.items():
+            totals[key] = sums.scale(_compute_ageing(now - at))
         for at, rows in self._peers.values():
-            sums = rows.get(key)
-            if sums is not None and now - at <= PEER_LENGTHS_PERIOD:
-                total = total.add(sums.scale(_compute_ageing(now - at)))
-        return total
-
-    def _list_keys(self) -> set[LengthKey]:
-        keys = {*self._own}
-        for _, rows in self._peers.values():
-            keys.update(rows)
-        return keys
-
-    def _fit(self, key: LengthKey, usual: float, now: float) -> "_Fit | None":
+            if now - at > PEER_LENGTHS_PERIOD:
+                continue
+            ageing = _compute_ageing(now - at)
+            for key, sums in rows.items():
+                aged = sums.scale(ageing)
+                known = totals.get(key)
+                totals[key] = aged if known is None else known.add(aged)
+        self._totals = totals
+        self._fits.clear()
+        self._summed_at = now
+
+    def _fit(self, key: LengthKey, usual: float) -> "_Fit | None":
         """Return the line through the answers of a key; None if there are too few."""
-        sums = self._sum_up(key, now)
-        if sums.weight < MIN_WEIGHT:
+        sums = self._totals.get(key)
+        if sums is None or sums.weight < MIN_WEIGHT:
             return None
-        size = self._estimate_event_size(key, usual, now)
+        size = self._estimate_event_size(key, usual)
         weight = sums.weight
         x, y = sums.x / weight, sums.y / weight
         xx = max(0.0, sums.xx - weight * x * x)
@@ -301,13 +309,12 @@
         spread = math.sqrt(residual / (weight + PRIOR_WEIGHT))
         return _Fit(x, y, slope, min(MAX_SPREAD, spread), size)
 
-    def _estimate_event_size(self, key: LengthKey, usual: float, now: float) -> float:
+    def _estimate_event_size(self, key: LengthKey, usual: float) -> float:
         """Return the tokens of one event, by all answers of a service."""
         weight = log_ratio = events = 0.0
-        for other in self._list_keys():
+        for other, sums in self._totals.items():
             if other.service != key.service or other.is_declared != key.is_declared:
                 continue
-            sums = self._sum_up(other, now)
             weight += sums.weight
             log_ratio += sums.x - sums.y
             events += sums.events
--- a/src/tarragonrudder/core/forwarding/path.py
+++ b/src/tarragonrudder/core/forwarding/path.py
@@ -53,12 +53,23 @@
         Data centre of this node.
     first_upstream : str or None
         Upstream that must run the first stage.
+    reserved_tokens : int or None
+        Tokens of the answer for which memory must be free; None for the expected.
     """
 
     prompt_tokens: int
     answer_tokens: int
     data_center: str
     first_upstream: str | None = None
+    reserved_tokens: int | None = None
+
+    @property
+    def held_tokens(self) -> int:
+        """Tokens of KV cache for which memory must be free."""
+        reserved = self.reserved_tokens
+        return self.prompt_tokens + (
+            self.answer_tokens if reserved is None else reserved
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,7 +295,7 @@
         penalty = self._slowness.penalty(engine.name)
         latency *= penalty
         is_limited = len(self._limits) > 0 and engine.incarnation in self._limits
-        tokens = held_tokens + demand.prompt_tokens + demand.answer_tokens
+        tokens = held_tokens + demand.held_tokens
         fill_ratio = tokens / holding.full_tokens
         has_capacity = fill_ratio <= 1.0
         fixed_cost = latency * HOP_SECONDS * demand.answer_tokens
--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -13,6 +13,15 @@
     Trait,
 )
 from tarragonrudder.core.domain.route import Account, Route, RouteTable
+from tarragonrudder.core.forwarding.answer_lengths import (
+    AnswerLength,
+    AnswerLengths,
+    Declared,
+    LengthKey,
+    compute_mean,
+    compute_mean_events,
+    compute_reserve,
+)
 from tarragonrudder.core.forwarding.crash_tracker import CrashReport, CrashTracker
 from tarragonrudder.core.forwarding.path import (
     Path,
@@ -108,6 +117,7 @@
         self.peer_table = PeerTable(data_center, source)
         self._unconfirmed_crashes: list[tuple[tuple[Trait, ...], str]] = []
         self.usage_tracker = UsageTracker()
+        self.answer_lengths = AnswerLengths()
         self.retry_budget = retry_budget
         self.crash_tracker = CrashTracker()
         self._reported_blocks: frozenset[Trait] = frozenset()
@@ -311,14 +321,54 @@
         self, request: ForwardedRequest, service: str
     ) -> ResourceDemand:
         """Return the resources that a request is expected to need."""
-        answer = request.max_tokens
-        if request.hinted_tokens is not None:
-            answer = min(answer, request.hinted_tokens)
-        elif self.route_table is not None:
+        length = self.estimate_length(request, service)
+        return ResourceDemand(
+            request.prompt_tokens,
+            compute_mean(length),
+            self._data_center,
+            reserved_tokens=compute_reserve(length),
+        )
+
+    def estimate_length(self, request: ForwardedRequest, service: str) -> AnswerLength:
+        """Return how long the answer to a request is expected to be."""
+        spec = None
+        if self.route_table is not None:
             spec = self.route_table.services.get(service)
-            if spec is not None and spec.engine is not None:
-                answer = min(answer, int(spec.engine.mean_answer_tokens))
-        return ResourceDemand(request.prompt_tokens, answer, self._data_center)
+        if spec is None or spec.engine is None:
+            declared = request.hinted_tokens
+            if declared is None:
+                return Declared(request.max_tokens)
+            return Declared(min(request.max_tokens, declared))
+        return self.answer_lengths.estimate(
+            self._make_length_key(request, service),
+            _get_declared_tokens(request),
+            request.max_tokens,
+            spec.engine.mean_answer_tokens,
+            request.arrived,
+        )
+
+    def note_answer(
+        self, request: ForwardedRequest, service: str, events: int, is_whole: bool
+    ) -> float | None:
+        """Learn from an answer's events; return their ratio to the expected ones.
+
+        Returns
+        -------
+        float or None
+            None if the answer broke off, or if none of its kind was learned before.
+        """
+        if request.last_event is not None:
+            return None  # its caller has had a part of it already
+        length = self.estimate_length(request, service)
+        self.answer_lengths.observe(
+            self._make_length_key(request, service),
+            _get_declared_tokens(request),
+            events,
+            request.arrived,
+            None if is_whole else length,
+        )
+        expected = compute_mean_events(length)
+        return events / expected if is_whole and expected is not None else None
 
     def compute_wait_end(
         self, route: Route, since: float, may_have_run: bool = False
@@ -610,6 +660,13 @@
         self.on_news()
         return True
 
+    def _make_length_key(self, request: ForwardedRequest, service: str) -> LengthKey:
+        route = None
+        if self.route_table is not None:
+            route = self.route_table.find_route(request.host, request.path)
+        name = route.name if route is not None else ""
+        return LengthKey(service, name, request.hinted_tokens is not None)
+
     def _report_blocks(self) -> None:
         blocked = self.crash_tracker.list_blocked()
         for trait in blocked.keys() - self._reported_blocks:
@@ -692,3 +749,10 @@
             if path is not None:
                 return path
         return None
+
+
+def _get_declared_tokens(request: ForwardedRequest) -> int:
+    """Return the tokens that a request expects, or else allows."""
+    if request.hinted_tokens is None:
+        return request.max_tokens
+    return request.hinted_tokens
--- a/src/tarragonrudder/edges/stream_answer.py
+++ b/src/tarragonrudder/edges/stream_answer.py
@@ -29,6 +29,8 @@
         )
         self._gap_sample: tuple[int, float] = (0, 0.0)
         self._failure: tuple[Accepted, bytes] | None = None  # an upstream's own
+        self._has_ended = False
+        self._is_relayed = False  # another node learns from it
 
     @property
     def last_event(self) -> int | None:
@@ -75,6 +77,8 @@
         await self._reply.end()
         if attempt.events > 0:
             self._state.note_sound_run(self._job.request, attempt.begun_at)
+        self._has_ended = True
+        ratio = self._note_answer()
         first = max(0.0, self._event_gaps.first_at - self._job.request.arrived)
         self._sender.log_end(
             self._job,
@@ -82,8 +86,14 @@
             events=self._events.forwarded,
             first=round(first, 3),
             worst_gap=round(self._event_gaps.max_gap, 3),
+            ratio=None if ratio is None else round(ratio, 2),
         )
 
+    def close(self) -> None:
+        """Learn from an answer that broke off, or that its caller left."""
+        if not self._has_ended:
+            self._note_answer()
+
     def collect_failure(
         self, attempt: StreamAttempt, response: Accepted, data: bytes
     ) -> bool:
@@ -115,10 +125,19 @@
         """Observe no gap across two attempts."""
         self._gap_sample = (0, 0.0)
 
+    def _note_answer(self) -> float | None:
+        if self._is_relayed or self._events.forwarded == 0:
+            return None
+        job = self._job
+        return self._state.note_answer(
+            job.request, job.service, self._events.forwarded, self._has_ended
+        )
+
     def _note_progress(self, attempt: StreamAttempt, count: int) -> None:
         now = trio.current_time()
         if attempt.events == 0:
             attempt.begun_at = now
+            self._is_relayed = attempt.upstream.is_peer
         was_sound = attempt.events >= SOUND_EVENTS
         attempt.events += count
         if attempt.events >= SOUND_EVENTS and not was_sound:
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -56,6 +56,7 @@
         finally:
             self._stall_prober.remove_listener(stream)
             stream.close()
+            answer.close()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tarragonrudder/edges/telemetry.py
+++ b/src/tarragonrudder/edges/telemetry.py
@@ -18,6 +18,7 @@
 # Upper bounds of histogram buckets, in seconds: around the callers' latency targets
 # (some hundred milliseconds) and their timeouts (seconds).
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0)
+RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0)
 DELAY_BUCKETS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0)
 
 
@@ -60,6 +61,13 @@
     MetricSpec(
         "worst_gap_seconds", "histogram", "Longest pause", buckets=LATENCY_BUCKETS
     ),
+    MetricSpec(
+        "answer_length_ratio",
+        "histogram",
+        "Answers' events over the expected ones",
+        buckets=RATIO_BUCKETS,
+    ),
+    MetricSpec("routes_learned", "gauge", "Routes whose answers' length is learned"),
     MetricSpec("call_seconds", "histogram", "Plain answers", buckets=LATENCY_BUCKETS),
     MetricSpec(
         "store_seconds", "histogram", "Calls of the store", buckets=LATENCY_BUCKETS
@@ -114,7 +122,7 @@
             self._statsd.gauge(name if label is None else f"{name}.{label}", value)
 
     def observe(self, name: str, seconds: float) -> None:
-        """Add a duration to a histogram."""
+        """Add a duration, in seconds, or a ratio to a histogram."""
         self._metrics[name].observe(seconds)
         if self._statsd is not None:
             self._statsd.time(name, seconds)
@@ -138,6 +146,8 @@
         if "events" in fields:
             self.observe("first_event_seconds", fields["first"])
             self.observe("worst_gap_seconds", fields["worst_gap"])
+            if fields.get("ratio") is not None:
+                self.observe("answer_length_ratio", fields["ratio"])
         else:
             self.observe("call_seconds", fields["took"])
 
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -281,6 +281,8 @@
         telemetry.set("requests_for_peers", self._ingress.active_for_peers)
         telemetry.set("upstreams_limited", len(self.state.limits))
         telemetry.set("upstreams_resting", len(self.state.upstream_gate.rests))
+        learned = self.state.answer_lengths.count_learned()
+        telemetry.set("routes_learned", learned)
         telemetry.set("requests_running", self._ingress.active)
         telemetry.set("requests_waiting", self._relay.waiting)
         telemetry.set("configuration_version", self.state.version)
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -251,6 +251,7 @@
             announced_ends=self._state.upstream_table.list_announced_ends(),
             position=self._registry.position,
             view=self._registry.describe_view(peer_position),
+            lengths=self._state.answer_lengths.snapshot(now),
         )
 
     def _merge_state(self, message: PeerState) -> None:
@@ -262,6 +263,9 @@
         if len(self._known_addresses) < MAX_KNOWN_PEERS:
             self._known_addresses.add(message.address)
         self._state.usage_tracker.set_peer(node, message.usage, now)
+        self._state.answer_lengths.merge(node, message.lengths, now)
+        if message.lengths_dropped:
+            self._log("lengths_dropped", None, peer=node, rows=message.lengths_dropped)
         self._state.merge_crash_reports(message.crash_reports, now)
         if message.report is not None:
             self._state.peer_table.update(node, message.report, now)
--- a/src/tarragonrudder/platform/peer_message.py
+++ b/src/tarragonrudder/platform/peer_message.py
@@ -16,6 +16,7 @@
 )
 
 from tarragonrudder.core.domain.forwarded_request import Trait
+from tarragonrudder.core.forwarding.answer_lengths import LengthKey, LengthSums
 from tarragonrudder.core.forwarding.crash_tracker import (
     MAX_SHARED_RECORDS,
     CrashReport,
@@ -25,6 +26,7 @@
 from tarragonrudder.core.forwarding.usage_tracker import Usage
 from tarragonrudder.platform.decoding import Address, Count
 from tarragonrudder.platform.metadata_store import Position
+from tarragonrudder.platform.peer_lengths import decode_lengths, encode_lengths
 from tarragonrudder.platform.store_view import (
     StoreView,
     decode_position,
@@ -65,6 +67,10 @@
         Position in the store up to which it knows all changes.
     view : StoreView or None
         The changes that the receiver lacks, if it told its position.
+    lengths : mapping of LengthKey to LengthSums
+        What it has learned of answers' lengths; mostly empty.
+    lengths_dropped : int
+        Rows of them that were left out, as they can't be right.
     """
 
     node: str
@@ -79,6 +85,8 @@
     announced_ends: t.Sequence[str] = ()
     position: Position | None = None
     view: StoreView | None = None
+    lengths: t.Mapping[LengthKey, LengthSums] = field(default_factory=dict)
+    lengths_dropped: int = 0
 
 
 class _Part(BaseModel):
@@ -105,6 +113,7 @@
     announced_ends: list[str] = []
     position: t.Any = None
     view: t.Any = None
+    lengths: t.Any = None
 
 
 _ENTRIES = TypeAdapter(dict[Name, str])
@@ -136,6 +145,7 @@
             "announced_ends": state.announced_ends[:MAX_ANNOUNCED_ENDS],
             "position": encode_position(state.position),
             "view": encode_view(state.view),
+            "lengths": encode_lengths(state.lengths),
         }
     )
 
@@ -154,6 +164,7 @@
         view = decode_view(found.view)
     except (ValidationError, ValueError) as error:
         raise PeerMessageError(f"invalid message from a peer: {error}") from error
+    lengths, lengths_dropped = decode_lengths(found.lengths)
     report = None
     if found.relay is not None:
         report = PeerReport(
@@ -175,6 +186,8 @@
         announced_ends=found.announced_ends[:MAX_ANNOUNCED_ENDS],
         position=position,
         view=view,
+        lengths=lengths,
+        lengths_dropped=lengths_dropped,
     )
 
 
--- a/tests/forwarding/test_answer_lengths.py
+++ b/tests/forwarding/test_answer_lengths.py
@@ -12,6 +12,7 @@
     MAX_SHARED,
     MIN_WEIGHT,
     PEER_LENGTHS_PERIOD,
+    REFIT_PERIOD,
     SHARE_PERIOD,
     AnswerLengths,
     Declared,
@@ -114,6 +115,7 @@
     whole, cut, broken = AnswerLengths(), AnswerLengths(), AnswerLengths()
     for lengths in (whole, cut, broken):
         teach(lengths, HINTED, 500)
+        lengths.estimate(HINTED, 120, 10**6, USUAL, 0.0)
     source = random.Random(9)
     for _ in range(500):
         tokens, declared = draw_answer(source)
@@ -124,7 +126,7 @@
         cut.observe(HINTED, declared, half, 0.0)
         broken.observe(HINTED, declared, half, 0.0, expected)
     centers = [
-        lengths.estimate(HINTED, 120, 10**6, USUAL, 0.0).center
+        lengths.estimate(HINTED, 120, 10**6, USUAL, 2.0 * REFIT_PERIOD).center
         for lengths in (whole, cut, broken)
     ]
     assert abs(centers[2] - centers[0]) < abs(centers[1] - centers[0])
@@ -159,10 +161,11 @@
     for _ in range(3):
         learner.merge("n2", rows, 1.0)
     learner.merge("n2", {}, 1.0)
-    assert learner._sum_up(HINTED, 1.0).weight == pytest.approx(30.0, rel=0.01)
     assert isinstance(learner.estimate(HINTED, 99, 400, USUAL, 1.0), Learned)
+    assert learner._totals[HINTED].weight == pytest.approx(30.0, rel=0.01)
+    assert learner.count_learned() == 1
     assert learner.snapshot(1.0) == {}
-    later = 2.0 + PEER_LENGTHS_PERIOD
+    later = 4.0 + PEER_LENGTHS_PERIOD
     assert isinstance(learner.estimate(HINTED, 99, 400, USUAL, later), Declared)
 
 
