--- a/src/tarragonrudder/core/forwarding/path.py
+++ b/src/tarragonrudder/core/forwarding/path.py
@@ -55,6 +55,8 @@
         Upstream that must run the first stage.
     held_share : float
         Part of each stage's room that is left to more urgent requests.
+    reserved_tokens : int or None
+        Tokens of the answer for which memory must be free; None for the expected.
     """
 
     prompt_tokens: int
@@ -62,6 +64,15 @@
     data_center: str
     first_upstream: str | None = None
     held_share: float = 0.0
+    reserved_tokens: int | None = None
+
+    @property
+    def held_tokens(self) -> int:
+        """Tokens of KV cache for which memory must be free."""
+        reserved = self.reserved_tokens
+        return self.prompt_tokens + (
+            self.answer_tokens if reserved is None else reserved
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,7 +298,7 @@
         penalty = self._slowness.penalty(engine.name)
         latency *= penalty
         is_limited = len(self._limits) > 0 and engine.incarnation in self._limits
-        tokens = held_tokens + demand.prompt_tokens + demand.answer_tokens
+        tokens = held_tokens + demand.held_tokens
         fill_ratio = tokens / holding.full_tokens
         has_capacity = fill_ratio <= 1.0
         fixed_cost = latency * HOP_SECONDS * demand.answer_tokens
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -62,6 +62,7 @@
             if job.may_have_run:
                 room = self._sender.state.room
                 room.note_end(job.service, trio.current_time())
+            answer.close()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tarragonrudder/platform/peer_message.py
+++ b/src/tarragonrudder/platform/peer_message.py
@@ -16,6 +16,7 @@
 )
 
 from tarragonrudder.core.domain.forwarded_request import Trait
+from tarragonrudder.core.forwarding.answer_lengths import LengthKey, LengthSums
 from tarragonrudder.core.forwarding.crash_tracker import (
     MAX_SHARED_RECORDS,
     CrashReport,
@@ -26,6 +27,7 @@
 from tarragonrudder.platform.compression import MARK, CompressionError, decompress
 from tarragonrudder.platform.decoding import Address, Count
 from tarragonrudder.platform.metadata_store import Position
+from tarragonrudder.platform.peer_lengths import decode_lengths, encode_lengths
 from tarragonrudder.platform.store_view import (
     StoreView,
     decode_position,
@@ -69,6 +71,10 @@
         The changes that the receiver lacks, if it told its position.
     reads_compressed : bool
         Whether it reads compressed states; False of an older build.
+    lengths : mapping of LengthKey to LengthSums
+        What it has learned of answers' lengths; mostly empty.
+    lengths_dropped : int
+        Rows of them that were left out, as they can't be right.
     """
 
     node: str
@@ -84,6 +90,8 @@
     position: Position | None = None
     view: StoreView | None = None
     reads_compressed: bool = False
+    lengths: t.Mapping[LengthKey, LengthSums] = field(default_factory=dict)
+    lengths_dropped: int = 0
 
 
 class _Part(BaseModel):
@@ -111,6 +119,7 @@
     position: t.Any = None
     view: t.Any = None
     compressed: bool = False
+    lengths: t.Any = None
 
 
 _ENTRIES = TypeAdapter(dict[Name, str])
@@ -143,6 +152,7 @@
             "position": encode_position(state.position),
             "view": encode_view(state.view),
             "compressed": state.reads_compressed,
+            "lengths": encode_lengths(state.lengths),
         }
     )
 
@@ -163,6 +173,7 @@
         view = decode_view(found.view)
     except (ValidationError, ValueError, CompressionError) as error:
         raise PeerMessageError(f"invalid message from a peer: {error}") from error
+    lengths, lengths_dropped = decode_lengths(found.lengths)
     report = None
     if found.relay is not None:
         report = PeerReport(
@@ -185,6 +196,8 @@
         position=position,
         view=view,
         reads_compressed=found.compressed,
+        lengths=lengths,
+        lengths_dropped=lengths_dropped,
     )
 
 
