Keep the metrics of each label instead of looking them up

Cause: each log line, also one over its rate, looked up its counter by label, which checks and converts the labels under a lock. Change: Telemetry keeps the children; as many as the library keeps itself.

--- a/src/tarragonrudder/edges/telemetry.py
+++ b/src/tarragonrudder/edges/telemetry.py
@@ -86,6 +86,8 @@
         self._statsd = statsd
         self._registry = CollectorRegistry()
         self._metrics: dict[str, t.Any] = {}
+        # A look-up by label costs the library more than the count itself.
+        self._children: dict[tuple[str, str], t.Any] = {}
         for spec in METRICS:
             self._metrics[spec.name] = self._make_metric(spec)
 
@@ -102,14 +104,16 @@
 
     def count(self, name: str, label: str) -> None:
         """Add one to a counter."""
-        self._metrics[name].labels(label).inc()
+        self._find_child(name, label).inc()
         if self._statsd is not None:
             self._statsd.count(f"{name}.{label}")
 
     def set(self, name: str, value: float, label: str | None = None) -> None:
         """Set a gauge."""
-        metric = self._metrics[name]
-        (metric if label is None else metric.labels(label)).set(value)
+        if label is None:
+            self._metrics[name].set(value)
+        else:
+            self._find_child(name, label).set(value)
         if self._statsd is not None:
             self._statsd.gauge(name if label is None else f"{name}.{label}", value)
 
@@ -134,6 +138,12 @@
         """Write buffered log lines, as far as the reader takes them."""
         self._decision_log.flush()
 
+    def _find_child(self, name: str, label: str) -> t.Any:
+        child = self._children.get((name, label))
+        if child is None:
+            child = self._children[name, label] = self._metrics[name].labels(label)
+        return child
+
     def _observe_completion(self, fields: t.Mapping[str, t.Any]) -> None:
         if "events" in fields:
             self.observe("first_event_seconds", fields["first"])
