Let requests of accounts of which less runs go first

Cause: while a service was full, requests waited in their order whatever their account, so that a burst of one account made all others wait behind it and be refused as often.

Change: a node counts the streams of its callers that run, by service and account. Among waiting requests as urgent, those of the account of which fewest run go first, in steps of twice as many; a new one doesn't wait behind accounts of a higher step, and takes the place of such a one in a full line. Nothing changes while nobody waits, or for a single account.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -13,6 +13,7 @@
     Trait,
 )
 from tarragonrudder.core.domain.route import Account, Route, RouteTable
+from tarragonrudder.core.forwarding.account_shares import AccountShares
 from tarragonrudder.core.forwarding.crash_tracker import CrashReport, CrashTracker
 from tarragonrudder.core.forwarding.path import (
     Path,
@@ -111,6 +112,7 @@
         self._unconfirmed_crashes: list[tuple[tuple[Trait, ...], str]] = []
         self.usage_tracker = UsageTracker()
         self.urgencies = Urgencies()
+        self.account_shares = AccountShares()
         self.room = RoomEstimator(source)
         self.retry_budget = retry_budget
         self.crash_tracker = CrashTracker()
--- a/src/tarragonrudder/core/forwarding/wait_queue.py
+++ b/src/tarragonrudder/core/forwarding/wait_queue.py
@@ -6,7 +6,7 @@
 # For one service; a node admits a few requests a second, and they wait briefly.
 MAX_WAITING = 64
 KEPT_PLACES = 8  # of one level, which more urgent requests leave to it
-# Rounds of which one lets a request search that waits behind more urgent ones.
+# Rounds of which one lets a request search that waits behind others by its rank.
 BEHIND_ROUNDS = 4
 NONE_STARVED: frozenset[tuple[str, int]] = frozenset()
 
@@ -26,7 +26,11 @@
     urgency : int or None
         Priority level; None if its service has only one.
     is_displaced : bool
-        Whether a more urgent request has taken its place.
+        Whether a request that goes before it has taken its place.
+    account : str
+        Client account, empty without one.
+    account_rank : int
+        Rank of the account by what runs of it; the lower, the sooner.
     """
 
     service: str
@@ -34,12 +38,19 @@
     expires_at: float = 0.0
     urgency: int | None = None
     is_displaced: bool = False
+    account: str = ""
+    account_rank: int = 0
 
     @property
     def level(self) -> int:
         """Priority level, 0 without one."""
         return self.urgency if self.urgency is not None else 0
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Level and rank of the account; the lower, the sooner it gets room."""
+        return self.level, self.account_rank
+
 
 class WaitQueue:
     """Decides which waiting requests search for a path next.
@@ -47,7 +58,8 @@
     Load pattern: a burst or a lost stage leaves tens of requests of one node without a
     path. Whatever their number, the node searches a bounded number of times a second,
     and the room that appears goes to them in their order: broken streams, whose
-    callers leave soon, then the more urgent, then those that may wait the shortest.
+    callers leave soon, then the more urgent, then those of accounts of which less runs,
+    then those that may wait the shortest.
     """
 
     def __init__(self) -> None:
@@ -66,22 +78,22 @@
         waiting = sum(waiter.service == service for waiter in self._waiters)
         return waiting >= MAX_WAITING
 
-    def has_line(self, service: str, urgency: int | None = None) -> bool:
-        """Tell whether a new request would overtake another one as urgent."""
-        level = urgency if urgency is not None else 0
+    def has_line(
+        self, service: str, urgency: int | None = None, account_rank: int = 0
+    ) -> bool:
+        """Tell whether a new request would overtake one that goes before it."""
+        rank = (urgency if urgency is not None else 0, account_rank)
         return any(
-            waiter.service == service
-            and not waiter.is_resumed
-            and waiter.level <= level
+            waiter.service == service and not waiter.is_resumed and waiter.rank <= rank
             for waiter in self._waiters
         )
 
     def count_ahead(self, waiter: Waiter) -> int:
-        """Return how many others as urgent, or more, wait for the same service."""
+        """Return how many others wait for the same service and go before it."""
         return sum(
             other.service == waiter.service
             and other is not waiter
-            and (other.is_resumed or other.level <= waiter.level)
+            and (other.is_resumed or other.rank <= waiter.rank)
             for other in self._waiters
         )
 
@@ -93,6 +105,11 @@
                 counts[waiter.level] = counts.get(waiter.level, 0) + 1
         return counts
 
+    def update_ranks(self, find_rank: t.Callable[[str, str], int]) -> None:
+        """Find the ranks of the waiting requests' accounts anew."""
+        for waiter in self._waiters:
+            waiter.account_rank = find_rank(waiter.service, waiter.account)
+
     def list_levels(self) -> set[tuple[str, int]]:
         """Return the services and levels of which requests wait."""
         return {
@@ -101,22 +118,25 @@
             if waiter.urgency is not None
         }
 
-    def displace(self, service: str, urgency: int | None) -> Waiter | None:
-        """Remove the least urgent request that waits, for a more urgent one.
+    def displace(
+        self, service: str, urgency: int | None, account_rank: int = 0
+    ) -> Waiter | None:
+        """Remove the last of the requests that wait, for one that goes before it.
 
         Returns
         -------
         Waiter or None
-            None if no request is less urgent, or none may lose its place.
+            None if no request goes behind, or none may lose its place.
         """
-        if urgency is None:
-            return None
+        rank = (urgency if urgency is not None else 0, account_rank)
         counts = self.count_by_level(service)
         found: Waiter | None = None
         for waiter in self._waiters:
             if waiter.service != service or waiter.is_resumed:
                 continue
-            if waiter.level <= urgency or counts[waiter.level] <= KEPT_PLACES:
+            if waiter.rank <= rank:
+                continue
+            if waiter.level > rank[0] and counts[waiter.level] <= KEPT_PLACES:
                 continue
             if found is None or _get_order(waiter) > _get_order(found):
                 found = waiter
@@ -143,7 +163,7 @@
 
         The first one is always among them. The others take turns, since what keeps
         the first from being served, such as the upstreams that failed it, need not
-        concern them. Those behind more urgent ones get fewer turns.
+        concern them. Those behind others by their rank get fewer turns.
 
         Parameters
         ----------
@@ -166,27 +186,27 @@
     def _split(
         self, waiters: t.Iterable[Waiter], starved: t.Container[tuple[str, int]]
     ) -> tuple[list[Waiter], list[Waiter]]:
-        """Return those that no more urgent request waits before, and the rest."""
-        leading: dict[str, int] = {}
+        """Return those before which no request goes by its rank, and the rest."""
+        leading: dict[str, tuple[int, int]] = {}
         for waiter in self._waiters:
             if not waiter.is_resumed:
-                least = leading.get(waiter.service, waiter.level)
-                leading[waiter.service] = min(least, waiter.level)
+                least = leading.get(waiter.service, waiter.rank)
+                leading[waiter.service] = min(least, waiter.rank)
         others, behind = [], []
         for waiter in waiters:
             is_behind = not waiter.is_resumed
-            is_behind = is_behind and waiter.level > leading[waiter.service]
+            is_behind = is_behind and waiter.rank > leading[waiter.service]
             is_behind = is_behind and (waiter.service, waiter.level) not in starved
             (behind if is_behind else others).append(waiter)
         return others, behind
 
 
-def _get_order(waiter: Waiter) -> tuple[bool, int, float]:
-    return (not waiter.is_resumed, waiter.level, waiter.expires_at)
+def _get_order(waiter: Waiter) -> tuple[bool, tuple[int, int], float]:
+    return (not waiter.is_resumed, waiter.rank, waiter.expires_at)
 
 
 def _get_rank(
     waiter: Waiter, starved: t.Container[tuple[str, int]]
-) -> tuple[bool, bool, int, float]:
+) -> tuple[bool, bool, tuple[int, int], float]:
     is_starved = (waiter.service, waiter.level) in starved
-    return (not waiter.is_resumed, not is_starved, waiter.level, waiter.expires_at)
+    return (not waiter.is_resumed, not is_starved, waiter.rank, waiter.expires_at)
--- a/src/tarragonrudder/edges/job.py
+++ b/src/tarragonrudder/edges/job.py
@@ -209,12 +209,13 @@
         )
 
     def log_displaced(self, job: Job) -> None:
-        """Log that a more urgent request took a waiting one's place."""
+        """Log that a request that goes before a waiting one took its place."""
         self.log(
             "displaced",
             job.request.request_id,
             service=job.service,
             urgency=job.urgency,
+            account=job.account_name,
         )
 
     def log_end(self, job: Job, status: int, **fields: t.Any) -> None:
--- a/src/tarragonrudder/edges/path_waiters.py
+++ b/src/tarragonrudder/edges/path_waiters.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from tarragonrudder.core.forwarding.account_shares import AccountShares
 from tarragonrudder.core.forwarding.urgency import Urgencies
 from tarragonrudder.core.forwarding.wait_queue import Waiter, WaitQueue
 from tarragonrudder.edges.background import BackgroundTasks
@@ -17,10 +18,17 @@
     ----------
     urgencies : Urgencies or None
         Tells which levels starve; None if all requests are equally urgent.
+    shares : AccountShares or None
+        Tells what runs of each account; None if that doesn't matter.
     """
 
-    def __init__(self, urgencies: Urgencies | None = None) -> None:
+    def __init__(
+        self,
+        urgencies: Urgencies | None = None,
+        shares: AccountShares | None = None,
+    ) -> None:
         self._urgencies = urgencies if urgencies is not None else Urgencies()
+        self._shares = shares if shares is not None else AccountShares()
         self._queue = WaitQueue()
         self._events: dict[Waiter, trio.Event] = {}
         self._tasks: BackgroundTasks | None = None
@@ -34,12 +42,15 @@
         """Tell whether no further request for a service may wait."""
         return self._queue.is_full(service)
 
-    def has_line(self, service: str, urgency: int | None = None) -> bool:
-        """Tell whether a new request would overtake another one as urgent."""
-        return self._queue.has_line(service, urgency)
+    def has_line(self, waiter: Waiter) -> bool:
+        """Tell whether a new request would overtake one that goes before it."""
+        self._queue.update_ranks(self._shares.get_rank)
+        rank = self._shares.get_rank(waiter.service, waiter.account)
+        waiter.account_rank = rank
+        return self._queue.has_line(waiter.service, waiter.urgency, rank)
 
     def count_ahead(self, waiter: Waiter) -> int:
-        """Return how many others as urgent, or more, wait for the same service."""
+        """Return how many others wait for the same service and go before it."""
         return self._queue.count_ahead(waiter)
 
     def count_by_level(self, service: str) -> dict[int, int]:
@@ -47,10 +58,12 @@
         return self._queue.count_by_level(service)
 
     def make_place(self, waiter: Waiter) -> bool:
-        """Return whether there is a place, if need be that of a less urgent request."""
+        """Return whether there is a place, if need be that of one that goes behind."""
         if not self._queue.is_full(waiter.service):
             return True
-        displaced = self._queue.displace(waiter.service, waiter.urgency)
+        displaced = self._queue.displace(
+            waiter.service, waiter.urgency, waiter.account_rank
+        )
         if displaced is None:
             return False
         self._events[displaced].set()
@@ -85,6 +98,7 @@
 
     def _wake(self, count: int) -> None:
         now = trio.current_time()
+        self._queue.update_ranks(self._shares.get_rank)
         starved = {
             (service, level)
             for service, level in self._queue.list_levels()
--- a/src/tarragonrudder/edges/relay.py
+++ b/src/tarragonrudder/edges/relay.py
@@ -65,7 +65,7 @@
         sender = Sender(state, upstreams, log)
         self._stall_prober = StallProber(sender)
         self._plain_calls = PlainCalls(sender)
-        self._path_waiters = PathWaiters(state.urgencies)
+        self._path_waiters = PathWaiters(state.urgencies, state.account_shares)
         self._streams = Streams(sender, self._stall_prober, self._path_waiters)
 
     def start(self, tasks: BackgroundTasks) -> None:
--- a/src/tarragonrudder/edges/streaming.py
+++ b/src/tarragonrudder/edges/streaming.py
@@ -29,7 +29,7 @@
 REPLACE_PERIOD = 0.5
 
 LINE_FULL_MESSAGE = "too many requests wait for a path"
-DISPLACED_MESSAGE = "a more urgent request took its place"
+DISPLACED_MESSAGE = "a request that goes before it took its place"
 
 
 class Streams:
@@ -112,6 +112,7 @@
         self._replace_at = 0.0
         self._wait_scope = trio.CancelScope()
         self._woken = False
+        self._is_counted = False
 
     @property
     def stages(self) -> t.Container[str]:
@@ -128,6 +129,10 @@
         for attempt in self._attempts:
             attempt.close()
         self._attempts.clear()
+        if self._is_counted and not self._job.relayed_by:
+            self._is_counted = False
+            job = self._job
+            self._state.account_shares.finish(job.service, job.account_name)
 
     async def open_attempt(self) -> Problem | None:
         """Open an attempt; return the problem if there can be none."""
@@ -197,22 +202,37 @@
     async def _find_path(self) -> Path | Problem:
         """Return the path of the next attempt; wait for one while that may help."""
         job = self._job
-        waiter = Waiter(job.service, job.may_have_run, urgency=job.urgency)
+        waiter = Waiter(
+            job.service,
+            job.may_have_run,
+            urgency=job.urgency,
+            account=job.account_name,
+        )
         found: Path | Problem | None = None
         try:
             found = await self._wait_for_path(waiter)
-            if isinstance(found, Path) and not job.sent_to:
-                now = trio.current_time()
-                self._state.urgencies.note_begun(job.service, job.urgency, now)
+            if isinstance(found, Path):
+                self._note_begun()
             return found
         finally:
             self._path_waiters.leave(waiter, isinstance(found, Path))
 
+    def _note_begun(self) -> None:
+        """Count the stream once as begun, and as running until it is closed."""
+        job = self._job
+        if self._is_counted:
+            return
+        self._is_counted = True
+        now = trio.current_time()
+        self._state.urgencies.note_begun(job.service, job.urgency, now)
+        if not job.relayed_by:
+            self._state.account_shares.start(job.service, job.account_name)
+
     async def _wait_for_path(self, waiter: Waiter) -> Path | Problem:
         job = self._job
         since = trio.current_time()
         held = False
-        has_line = self._path_waiters.has_line(job.service, job.urgency)
+        has_line = self._path_waiters.has_line(waiter)
         if not job.may_have_run and has_line:
             waiter.expires_at = self._state.compute_wait_end(job.route, since)
             if not self._path_waiters.make_place(waiter):
--- a/tests/forwarding/callers.py
+++ b/tests/forwarding/callers.py
@@ -56,7 +56,7 @@
         self.source = random.Random(seed)
         self.hold_time = hold_time
         self.retries = retries
-        self.waiters = PathWaiters(state.urgencies)
+        self.waiters = PathWaiters(state.urgencies, state.account_shares)
         self.sender = Sender(state, None, self.note)
         self.arrived, self.begun = Counter(), Counter()
         self.refused, self.waits, self.events = [], [], Counter()
@@ -110,12 +110,14 @@
             kind.route, kind.account, "engines"
         )
         self.state.urgencies.note_arrival("engines", job.urgency, arrived)
-        found = await _Stream(job, None, self.sender, None, self.waiters)._find_path()
+        stream = _Stream(job, None, self.sender, None, self.waiters)
+        found = await stream._find_path()
         now = trio.current_time()
         if isinstance(found, Path):
             self.begun[kind.name] += 1
             self.waits.append((kind.name, now - (deadline - TIMEOUT)))
             await self.run(found)
+            stream.close()
             return
         again = self.state.find_path(
             request, kind.route, "engines", frozenset(), frozenset(), False, now, now
