--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -13,6 +13,7 @@
     Trait,
 )
 from tarragonrudder.core.domain.route import Account, Route, RouteTable
+from tarragonrudder.core.forwarding.account_shares import AccountShares
 from tarragonrudder.core.forwarding.answer_lengths import (
     AnswerLength,
     AnswerLengths,
@@ -120,6 +121,7 @@
         self._unconfirmed_crashes: list[tuple[tuple[Trait, ...], str]] = []
         self.usage_tracker = UsageTracker()
         self.urgencies = Urgencies()
+        self.account_shares = AccountShares()
         self.room = RoomEstimator(source)
         self.answer_lengths = AnswerLengths()
         self.retry_budget = retry_budget
