Bound what clients outside the limits hold of a platform node

Cause: a node read every body whole, of any number of connections, before it looked at anything else, and accepted connections until its descriptors ended. The memory and descriptors in its settings file were ignored. Hypercorn, at the readiness, metrics and control addresses, waits without end for a client that does not read, also at a stop.

Change: one decision without I/O (IntakeBudget) counts bytes when they arrive and chooses whom to close or refuse: what holds most for longest, of the address that holds most; never a request that is served, never one that alone holds anything. IntakeGate closes, logs and counts; ServerConnection and a guarded stream under hypercorn tell it. Bodies are collected in one buffer instead of a list of parts; a length over the limit is refused at the head; bodies that are all framing are refused; other requests get a turn between the events of a body. The limits follow from the VM's memory and descriptors.

Tests first: tests/hostile/test_platform_crowds.py starts a node as a process with the VM's 200 MB and 600 descriptors in its settings, and plays seeded crowds at the front, the side listeners (ready, metrics, control; with and without a route) and the peers' listener, with a good, a bad and no key.

Ruled out: a bound for each address (callers may share the balancer's), for each account (unfinished requests have no checked key), closing the newest (ordinary callers are), a bound of some hundred fields (a legal head may have more; a field's cost counts).

--- a/src/tarragonrudder/edges/connection.py
+++ b/src/tarragonrudder/edges/connection.py
@@ -14,17 +14,22 @@
 import h11
 import trio
 
+from tarragonrudder.core.admission.intake_budget import FIELD_BYTES
 from tarragonrudder.core.domain.address import split_address
 from tarragonrudder.core.domain.route import CallerLimits
+from tarragonrudder.edges.intake_gate import IntakeTicket, make_unlimited_ticket
 
 READ_BYTES = 64 * 1024  # per read; fits a typical request or answer
 MAX_HEADER_BYTES = 32 * 1024  # of an upstream's answer
-# Bytes of an answer that aren't its body: heads, also interim ones, and the framing of
+# Bytes of a message that aren't its body: heads, also interim ones, and the framing of
 # chunks; `FRAMING_RATIO` more for each byte of the body. Chunks of one byte stay below.
 MAX_FRAMING_BYTES = 128 * 1024
 FRAMING_RATIO = 5
-# Events of an answer, each some tens of microseconds, after which others have a turn.
+# Events of a message, each some tens of microseconds, after which others have a turn.
 EVENTS_PER_TURN = 64
+MAX_FIELDS = 4096  # of a head; as many as fit into 16 KiB
+# Bytes of requests sent ahead that are read while little memory is left.
+SCARCE_READ_BYTES = 1024
 CONNECT_TIMEOUT = 0.25  # seconds; many round trips within a region
 # Seconds without an acknowledgement after which the kernel drops a connection.
 USER_TIMEOUT = 3.0
@@ -37,6 +42,10 @@
     """No connection was established, so nothing was sent."""
 
 
+class IntakeRefused(Exception):
+    """There is no room for a caller's unfinished request."""
+
+
 class CallerDisconnected(Exception):
     """The caller closed its connection before the answer was complete."""
 
@@ -235,6 +244,10 @@
     ----------
     get_limits : callable
         Returns the limits in force.
+    ticket : IntakeTicket or None
+        Is told the bytes that the connection holds; None if nothing limits them.
+    max_fields : int
+        Most fields of a request's head.
 
     Attributes
     ----------
@@ -245,9 +258,18 @@
     """
 
     def __init__(
-        self, stream: trio.SocketStream, get_limits: t.Callable[[], CallerLimits]
+        self,
+        stream: trio.SocketStream,
+        get_limits: t.Callable[[], CallerLimits],
+        ticket: IntakeTicket | None = None,
+        max_fields: int = MAX_FIELDS,
     ) -> None:
         self._stream = stream
+        self._ticket = ticket or make_unlimited_ticket()
+        self._max_fields = max_fields
+        self._held = 0  # bytes of the current request
+        self._received_bytes = 0  # after its head, with framing
+        self._events_in_turn = 0
         self._get_limits = get_limits
         self._limits = get_limits()
         self._http = self._make_http()
@@ -263,6 +285,8 @@
         """
         self.has_begun = False
         self._renew_limits()
+        self._received_bytes = 0
+        self._held = len(self._http.trailing_data[0])
         try:
             with trio.move_on_after(self._limits.idle_timeout) as scope:
                 head = await self._read_head(scope)
@@ -270,46 +294,50 @@
                 return UnreadableRequest(408, "too slow") if self.has_begun else None
             if not isinstance(head, h11.Request):
                 return None
-            parts: list[bytes] = []
-            size = 0
+            fault = self._check_head(head)
+            if fault is not None:
+                return fault
+            body = bytearray()
             with trio.move_on_after(self._limits.idle_timeout) as scope:
-                while True:
-                    event = await self._next_event()
-                    if isinstance(event, h11.EndOfMessage):
-                        break
-                    if not isinstance(event, h11.Data):
-                        return None
-                    size += len(event.data)
-                    if size > self._limits.body_bytes:
-                        return UnreadableRequest(413, "the body is too long")
-                    parts.append(bytes(event.data))
+                fault = await self._read_body(body)
             if scope.cancelled_caught:
                 return UnreadableRequest(408, "the body is too slow")
+            if fault is not None:
+                return fault
         except h11.RemoteProtocolError as error:
             return UnreadableRequest(error.error_status_hint, str(error))
+        except IntakeRefused:
+            return UnreadableRequest(503, "too many unfinished requests")
         except STREAM_ERRORS:
             return None
+        if not self._ticket.serve():
+            return None
         return ReceivedRequest(
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
             list(head.headers.raw_items()),
-            b"".join(parts),
+            bytes(body),
         )
 
     async def wait_disconnected(self) -> None:
         """Return once the caller has closed; pipelined data is buffered.
 
-        Beyond `READ_BYTES` of it nothing more is read, so a close is no longer noticed.
+        Beyond `READ_BYTES` of it nothing more is read, so a close is no longer noticed;
+        nor beyond any of it while all connections hold too much.
         """
         buffered = 0
         try:
             while True:
-                data = await self._stream.receive_some(READ_BYTES)
+                has_room = self._ticket.has_room
+                limit = READ_BYTES if has_room else SCARCE_READ_BYTES
+                data = await self._stream.receive_some(limit)
                 self._http.receive_data(data)
                 buffered += len(data)
                 if not data:
                     return
-                if buffered > READ_BYTES:
+                self._held += len(data)
+                self._ticket.hold(self._held)
+                if buffered > READ_BYTES or not has_room:
                     await trio.sleep_forever()
         except STREAM_ERRORS:
             return
@@ -328,6 +356,7 @@
         data = self._http.send(response) or b""
         data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
+        self._ticket.hold(self._held + len(data))
         await self._write_watched(data)
 
     async def send_end(self) -> None:
@@ -341,10 +370,12 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._ticket.end()
         return True
 
     async def close(self) -> None:
         """Close at once; the caller can tell if the answer was truncated."""
+        self._ticket.close()
         await trio.aclose_forcefully(self._stream)
 
     def _make_http(self) -> h11.Connection:
@@ -375,14 +406,56 @@
                 self.has_begun = True
                 self._renew_limits()
                 scope.deadline = trio.current_time() + self._limits.header_timeout
-            self._http.receive_data(data)
+            self._receive(data)
+
+    async def _read_body(self, body: bytearray) -> UnreadableRequest | None:
+        """Read the body of a request; return why it is refused, if it is."""
+        head_bytes = self._held
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return None
+            if not isinstance(event, h11.Data):
+                raise trio.ClosedResourceError("the caller closed within a request")
+            body += event.data
+            if len(body) > self._limits.body_bytes:
+                return UnreadableRequest(413, "the body is too long")
+            self._held = head_bytes + len(body)
+            framing = self._received_bytes - len(body)
+            if framing > MAX_FRAMING_BYTES + FRAMING_RATIO * len(body):
+                return UnreadableRequest(400, "the body is all framing")
+
+    def _check_head(self, head: h11.Request) -> UnreadableRequest | None:
+        """Return why a head is refused, None if it isn't."""
+        if len(head.headers) > self._max_fields:
+            return UnreadableRequest(431, "the head has too many fields")
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self._limits.body_bytes:
+                return UnreadableRequest(413, "the body is too long")
+        self._held += FIELD_BYTES * len(head.headers)
+        if not self._ticket.hold(self._held):
+            raise IntakeRefused
+        return None
 
     async def _next_event(self) -> t.Any:
+        if self._events_in_turn >= EVENTS_PER_TURN:
+            await trio.lowlevel.checkpoint()
+            self._events_in_turn = 0
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
+                self._events_in_turn += 1
                 return event
-            self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+            self._events_in_turn = 0
+            self._receive(await self._stream.receive_some(READ_BYTES))
+
+    def _receive(self, data: bytes) -> None:
+        """Take data of a request; raises IntakeRefused if there is no room for it."""
+        self._received_bytes += len(data)
+        self._held += len(data)
+        if data and not self._ticket.hold(self._held):
+            raise IntakeRefused
+        self._http.receive_data(data)
 
     async def _send(self, event: t.Any) -> None:
         data = self._http.send(event)
--- a/src/tarragonrudder/edges/telemetry.py
+++ b/src/tarragonrudder/edges/telemetry.py
@@ -40,6 +40,14 @@
         "lines_dropped", "gauge", "Log lines that were left out since the start"
     ),
     MetricSpec("requests_running", "gauge", "Requests that have not ended"),
+    MetricSpec("intake_connections", "gauge", "Clients' connections", "listener"),
+    MetricSpec("intake_bytes", "gauge", "Bytes of unanswered requests", "listener"),
+    MetricSpec(
+        "intake_closed",
+        "gauge",
+        "Connections closed beyond a limit since the start",
+        "listener",
+    ),
     MetricSpec("requests_waiting", "gauge", "Requests that wait for a path"),
     MetricSpec("upstreams", "gauge", "Registered upstreams by state", "state"),
     MetricSpec("upstreams_limited", "gauge", "Upstreams that named a limit"),
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -10,7 +10,6 @@
 import orjson
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
 from quart import Response
 from quart_trio import QuartTrio
 
@@ -21,6 +20,8 @@
 from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
 from tarragonrudder.edges.background import BackgroundTasks, TaskFailure
 from tarragonrudder.edges.decision_log import DecisionLog
+from tarragonrudder.edges.guarded_server import GuardedServer
+from tarragonrudder.edges.intake_gate import IntakeGate
 from tarragonrudder.edges.reach_checker import ReachChecker
 from tarragonrudder.edges.relay import Relay
 from tarragonrudder.edges.telemetry import Telemetry
@@ -45,6 +46,8 @@
 STOP_MARGIN = 0.3
 NODE_LEASE_TTL = 6.0  # seconds; peers stop contacting a node that is silent longer
 NODE_RENEW_PERIOD = 2.0  # seconds; the lease survives two lost renewals
+MAX_SIDE_BODY_BYTES = 4 << 20  # of a peer's state
+SIDE_BODY_TIMEOUT = 5  # seconds; peers give up much sooner
 DRAIN_POLL_PERIOD = 0.05  # seconds between checks for running requests
 
 
@@ -92,7 +95,15 @@
             settings.node, self.state.observe_backpressure, log
         )
         self._relay = Relay(self.state, self._upstreams, log)
-        self._ingress = Ingress(self._relay, self._get_limits, log)
+        self._front_gate = IntakeGate("front", settings.front_limits, log)
+        self._side_gate = IntakeGate("side", settings.side_limits, log)
+        self._ingress = Ingress(
+            self._relay,
+            self._get_limits,
+            log,
+            self._front_gate,
+            settings.intake.max_fields,
+        )
         self.registry = Registry(
             self._store,
             self.state,
@@ -211,7 +222,12 @@
         config.bind = sorted({ready, self._control_address, self._metrics_address})
         config.accesslog = None
         config.errorlog = None
-        await serve(app, config, shutdown_trigger=trio.sleep_forever)
+        app.config["BODY_TIMEOUT"] = SIDE_BODY_TIMEOUT
+        max_fields = self._settings.intake.max_fields
+        server = GuardedServer(
+            app, config, self._side_gate, MAX_SIDE_BODY_BYTES, max_fields
+        )
+        await server.run()
 
     async def _maintain_registration(self) -> None:
         """Keep this node's store entry alive, by which other nodes discover it."""
@@ -282,6 +298,10 @@
         telemetry.set("upstreams_limited", len(self.state.limits))
         telemetry.set("upstreams_resting", len(self.state.upstream_gate.rests))
         telemetry.set("requests_running", self._ingress.active)
+        for gate in (self._front_gate, self._side_gate):
+            telemetry.set("intake_connections", len(gate.budget), gate.name)
+            telemetry.set("intake_bytes", gate.budget.held, gate.name)
+            telemetry.set("intake_closed", gate.closed, gate.name)
         telemetry.set("requests_waiting", self._relay.waiting)
         telemetry.set("configuration_version", self.state.version)
         telemetry.set("store_away", self.registry.is_store_unavailable)
--- a/src/tarragonrudder/platform/ingress.py
+++ b/src/tarragonrudder/platform/ingress.py
@@ -11,6 +11,7 @@
 from tarragonrudder.core.domain.route import CallerLimits
 from tarragonrudder.core.node.drain import Drain
 from tarragonrudder.edges.connection import (
+    MAX_FIELDS,
     CallerDisconnected,
     Headers,
     ReceivedRequest,
@@ -18,6 +19,7 @@
     UnreadableRequest,
     configure_socket,
 )
+from tarragonrudder.edges.intake_gate import IntakeGate
 from tarragonrudder.edges.relay import Handover, Relay, ResponseAborted
 from tarragonrudder.errors import Overloaded, Problem, RunState
 from tarragonrudder.platform import protocol
@@ -44,6 +46,7 @@
 # they are passed on to another node.
 MAX_ACTIVE_FOR_PEERS = 256
 CLOSE_HEADER = (b"Connection", b"close")
+RETRY_HEADER = (b"Retry-After", b"1")  # unfinished requests end within seconds
 BACKLOG = 512  # connections queued for accept during a burst
 # Seconds after the start of a planned stop during which requests are still accepted
 # and idle connections kept open: the load balancer notices the stop only after two
@@ -224,6 +227,13 @@
 class Ingress:
     """Accepts callers' connections and serves their requests.
 
+    Parameters
+    ----------
+    gate : IntakeGate
+        Decides which connections are kept.
+    max_fields : int
+        Most fields of a request's head.
+
     Attributes
     ----------
     active : int
@@ -237,7 +247,11 @@
         relay: Relay,
         get_limits: t.Callable[[], CallerLimits],
         log: t.Callable[..., None],
+        gate: IntakeGate,
+        max_fields: int = MAX_FIELDS,
     ) -> None:
+        self._gate = gate
+        self._max_fields = max_fields
         self._relay = relay
         self._get_limits = get_limits
         self._log = log
@@ -286,10 +300,17 @@
     ) -> None:
         try:
             configure_socket(stream.socket)
+            client = stream.socket.getpeername()[0]
         except OSError:
             await trio.aclose_forcefully(stream)
             return
-        connection = ServerConnection(stream, self._get_limits)
+        ticket = self._gate.open(client, stream.socket.close)
+        if ticket is None:
+            await trio.aclose_forcefully(stream)
+            return
+        connection = ServerConnection(
+            stream, self._get_limits, ticket, self._max_fields
+        )
         try:
             while await self._serve_request(connection, for_peer):
                 pass
@@ -321,8 +342,13 @@
             self._log(
                 "unacceptable", None, status=received.status, reason=received.detail
             )
+            headers: Headers = [CLOSE_HEADER]
+            if received.status == 503:
+                headers.append(RETRY_HEADER)
+                if for_peer:
+                    headers.append(NOT_RUN_HEADER)
             body = orjson.dumps({"error": {"message": received.detail}})
-            await reply.send_whole(received.status, [CLOSE_HEADER], body)
+            await reply.send_whole(received.status, headers, body)
             return False
         reply.request_id = find_request_id(received) or None
         self.active += 1
--- a/src/tarragonrudder/platform/node_settings.py
+++ b/src/tarragonrudder/platform/node_settings.py
@@ -6,6 +6,14 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from tarragonrudder.core.admission.intake_budget import (
+    FRONT_SHARES,
+    SIDE_SHARES,
+    IntakeLimits,
+    IntakeShares,
+    derive_limits,
+)
+from tarragonrudder.edges.connection import MAX_FIELDS
 from tarragonrudder.errors import SettingsError
 
 
@@ -39,6 +47,23 @@
     reads_per_s: float = Field(2000, alias="reads-per-s", gt=0)
 
 
+class VmSettings(_Section):
+    """Limits of the node's VM."""
+
+    memory_mb: float = Field(200, alias="memory-mb", gt=0)
+    max_fds: int = Field(4100, alias="max-fds", gt=0)
+
+
+class IntakeSettings(_Section):
+    """Limits on what clients may hold; those that are 0 follow from the VM's."""
+
+    held_mb: float = Field(0, alias="held-mb", ge=0)
+    connections: int = Field(0, ge=0)
+    side_held_mb: float = Field(0, alias="side-held-mb", ge=0)
+    side_connections: int = Field(0, alias="side-connections", ge=0)
+    max_fields: int = Field(MAX_FIELDS, alias="max-fields", gt=0)
+
+
 class PlatformNodeSettings(_Section):
     """Validated settings of a node; unknown fields are ignored."""
 
@@ -52,6 +77,34 @@
         default_factory=lambda: BoundsSettings.model_validate({})
     )
     platform: StoreSettings
+    limits: VmSettings = Field(default_factory=lambda: VmSettings.model_validate({}))
+    intake: IntakeSettings = Field(
+        default_factory=lambda: IntakeSettings.model_validate({})
+    )
+
+    @property
+    def front_limits(self) -> IntakeLimits:
+        """Limits of the listeners for callers and for other nodes' requests."""
+        intake = self.intake
+        return self._derive_limits(FRONT_SHARES, intake.held_mb, intake.connections)
+
+    @property
+    def side_limits(self) -> IntakeLimits:
+        """Limits of the listeners for readiness, metrics and state exchange."""
+        intake = self.intake
+        return self._derive_limits(
+            SIDE_SHARES, intake.side_held_mb, intake.side_connections
+        )
+
+    def _derive_limits(
+        self, shares: IntakeShares, held_mb: float, connections: int
+    ) -> IntakeLimits:
+        memory_bytes = int(self.limits.memory_mb * 2**20)
+        derived = derive_limits(shares, memory_bytes, self.limits.max_fds)
+        return IntakeLimits(
+            total_bytes=int(held_mb * 2**20) or derived.total_bytes,
+            connections=connections or derived.connections,
+        )
 
     @property
     def relay_address(self) -> str:
--- /dev/null
+++ b/tests/hostile/test_platform_crowds.py
@@ -0,0 +1,191 @@
+"""A platform node among clients outside the limits: it lives, bounded, and serves."""
+
+import itertools
+
+import httpx
+import pytest
+import trio
+
+from tarragonrudder.platform import protocol
+from tarragonrudder.platform.daemon import METRICS_PATH, METRICS_PORT
+from tests.hostile.crowds import CROWDS, Crowd, Target
+from tests.hostile.process import (
+    ANSWER_TIME,
+    MAX_FDS,
+    MEMORY_BYTES,
+    START_TIME,
+    Process,
+)
+from tests.site.site import open_site, send_request
+from tests.site.upstream import UpstreamStandIn
+from tests.soak.world import ROOT
+from tests.standins.cluster import find_ports
+
+pytestmark = pytest.mark.alone
+
+SETTINGS = """\
+node = "node"
+ip = "{ip}"
+zone = "zone-a"
+internal-ports = [{internal}, {internal}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+[limits]
+memory-mb = {memory}
+max-fds = {fds}
+[bounds]
+grace-s = 8
+[platform]
+address = "{store}"
+"""
+KEYS = (b"Authorization: Bearer key-1", b"Authorization: Bearer other", b"Accept: */*")
+_numbers = itertools.count(1)
+
+
+class HostileSite:
+    """A site with one node that is a process of its own."""
+
+    def __init__(self, site, folder) -> None:
+        self.ip = f"127.0.253.{1 + next(_numbers) % 250}"
+        self.front, self.ready, self.control, self.internal = find_ports(4, self.ip)
+        path = folder / "node.toml"
+        path.write_text(
+            SETTINGS.format(
+                ip=self.ip,
+                front=self.front,
+                ready=self.ready,
+                control=self.control,
+                internal=self.internal,
+                memory=MEMORY_BYTES >> 20,
+                fds=MAX_FDS,
+                store=site.store.address,
+            )
+        )
+        self.process = Process(
+            [str(ROOT / "deploy" / "node.py")],
+            folder / "node.log",
+            **{protocol.SETTINGS_VARIABLE: str(path)},
+        )
+
+    def list_targets(self, listener: str) -> list[Target]:
+        """Return targets of a listener, each with a good, a bad and no key."""
+        side = {
+            "ready": f"{self.ip}:{self.ready}",
+            "control": f"{self.ip}:{self.control}",
+            "metrics": f"{self.ip}:{METRICS_PORT}",
+        }
+        match listener:
+            case "front":
+                address = f"{self.ip}:{self.front}"
+                places = [(address, "POST", "/look/1"), (address, "POST", "/none")]
+            case "peers":
+                address = f"{self.ip}:{self.internal}"
+                places = [(address, "POST", "/look/1")]
+            case _:
+                places = [
+                    (side["ready"], "GET", protocol.READY_PATH),
+                    (side["metrics"], "GET", METRICS_PATH),
+                    (side["control"], "POST", "/tarragonrudder/peer/state"),
+                    (side["ready"], "POST", "/none"),
+                ]
+        found = []
+        for key in KEYS:
+            for place in places:
+                fields = (b"Attempt-Id: a-%d" % next(_numbers), b"Deadline-Ms: 4000")
+                found.append(Target(*place, headers=(*fields, key)))
+        return found
+
+    async def wait_ready(self, limit: float) -> None:
+        """Wait until the balancer would send connections."""
+        url = f"http://{self.ip}:{self.ready}{protocol.READY_PATH}"
+        with trio.fail_after(limit):
+            while not await self._is_answered(url):
+                assert self.process.code is None, self.process.log.read_text()
+                await trio.sleep(0.1)
+
+    async def ask_until_served(self) -> None:
+        """Send ordinary requests on new connections until one is answered."""
+        with trio.fail_after(ANSWER_TIME):
+            while not await self._ask():
+                await trio.sleep(0.2)
+
+    async def _ask(self) -> bool:
+        try:
+            stream = await trio.open_tcp_stream(self.ip, self.front)
+        except OSError:
+            return False
+        try:
+            answer = await send_request(stream, "/look/1", deadline=3.0)
+        except (trio.BrokenResourceError, OSError):
+            return False
+        finally:
+            await trio.aclose_forcefully(stream)
+        return answer.status == 200 and answer.whole
+
+    async def _is_answered(self, url: str) -> bool:
+        try:
+            async with httpx.AsyncClient(trust_env=False, timeout=2.0) as client:
+                return (await client.get(url)).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+
+def list_cases():
+    found = []
+    for crowd in CROWDS:
+        for listener in ("front", "side"):
+            found.append(pytest.param(crowd, listener, id=f"{crowd.name}-{listener}"))
+    for crowd in CROWDS:
+        if crowd.name in ("one piece", "short fields", "unused"):
+            found.append(pytest.param(crowd, "peers", id=f"{crowd.name}-peers"))
+    return found
+
+
+async def add_upstreams(site) -> None:
+    plain = [UpstreamStandIn(f"p-{number}", service="plain") for number in (1, 2)]
+    await site.add(UpstreamStandIn("e-1", layers=(0, 79)), *plain)
+
+
+@pytest.mark.parametrize(("crowd", "listener"), list_cases())
+async def test_crowd(crowd: Crowd, listener: str, tmp_path) -> None:
+    async with open_site() as site:
+        await add_upstreams(site)
+        node = HostileSite(site, tmp_path)
+        streams: list[trio.SocketStream] = []
+        try:
+            await node.wait_ready(START_TIME)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.process.watch)
+                await crowd.play(node.list_targets(listener), streams)
+                faults = node.process.find_faults()
+                if node.process.code is None:
+                    await node.ask_until_served()
+                    await node.wait_ready(ANSWER_TIME)
+                faults = faults or node.process.find_faults()
+                nursery.cancel_scope.cancel()
+            memory, fds = node.process.peak_memory, node.process.peak_fds
+            print(f"memory {memory >> 20} MiB, {fds} descriptors")
+            assert faults == []
+        finally:
+            node.process.kill()
+            for stream in streams:
+                stream.socket.close()
+
+
+@pytest.mark.parametrize("listener", ["front", "side"])
+async def test_stop_among_slow_readers(listener: str, tmp_path) -> None:
+    (crowd,) = (crowd for crowd in CROWDS if crowd.name == "slow reader")
+    async with open_site() as site:
+        await add_upstreams(site)
+        node = HostileSite(site, tmp_path)
+        streams: list[trio.SocketStream] = []
+        try:
+            await node.wait_ready(START_TIME)
+            await crowd.play(node.list_targets(listener), streams)
+            assert await node.process.stop()
+        finally:
+            node.process.kill()
+            for stream in streams:
+                stream.socket.close()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -23,6 +23,7 @@
             "stall_prober",
             "job",
             "reach_checker",
+            "intake_gate",
         )
     ),
 ]
