Bound what clients outside the limits hold of the product's own daemon

Cause: hypercorn accepts any number of connections and waits without end for a client that does not read; nothing counted unfinished bodies.

Change: both ports are served by GuardedServer behind an intake gate. Section [intake] names the VM's memory, descriptors and the most fields of a head; without it the VM is asked. Stop, TLS and the limits on single requests are as before.

--- a/src/tarragonrudder/daemon.py
+++ b/src/tarragonrudder/daemon.py
@@ -1,18 +1,26 @@
 """The router's daemon, ``tarragonrudderd``."""
 
+import os
 import pathlib
 import random
+import resource
 import signal
 import sys
+import typing as t
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
-from quart_trio import QuartTrio
 
+from tarragonrudder.core.admission.intake_budget import (
+    FRONT_SHARES,
+    SIDE_SHARES,
+    IntakeLimits,
+    IntakeShares,
+    derive_limits,
+)
 from tarragonrudder.core.domain.event import StopRequested
 from tarragonrudder.core.node.node import Node, NodeOptions
-from tarragonrudder.edges.caller import make_caller_app
+from tarragonrudder.edges.caller import MAX_BODY_BYTES, make_caller_app
 from tarragonrudder.edges.clock import Clock
 from tarragonrudder.edges.driver import Driver
 from tarragonrudder.edges.exchange import (
@@ -20,8 +28,15 @@
     NodeStatus,
     add_exchange_route,
 )
+from tarragonrudder.edges.guarded_server import GuardedServer
+from tarragonrudder.edges.intake_gate import IntakeGate
 from tarragonrudder.edges.log_setup import configure_logger
-from tarragonrudder.edges.peer import PeerClient, make_peer_app, parse_secrets
+from tarragonrudder.edges.peer import (
+    MAX_MESSAGE_BYTES,
+    PeerClient,
+    make_peer_app,
+    parse_secrets,
+)
 from tarragonrudder.edges.platform_client import PlatformClient
 from tarragonrudder.edges.settings import Settings, read_settings
 from tarragonrudder.edges.statsd_metrics import StatsdMetrics
@@ -34,6 +49,7 @@
 from tarragonrudder.errors import RouterError
 
 MAX_HEADER_BYTES = 32 * 1024
+MAX_FDS = 1 << 20  # where the VM names no limit
 KEEP_ALIVE_TIMEOUT = 5.0  # seconds until the next request's headers are complete
 GRACEFUL_TIMEOUT = 5.0  # seconds for connections to close after the last response
 
@@ -114,9 +130,18 @@
         secure_caller_port(caller_config, self._settings.tls)
         peer_config = self._make_config(node.peer_bind)
         secure_peer_port(peer_config, self._settings.tls)
+        caller_gate = self._make_gate("callers", FRONT_SHARES)
+        peer_gate = self._make_gate("peers", SIDE_SHARES)
+        fields = self._settings.intake.max_fields
+        callers = GuardedServer(
+            caller_app, caller_config, caller_gate, MAX_BODY_BYTES, fields
+        )
+        nodes = GuardedServer(
+            peer_app, peer_config, peer_gate, MAX_MESSAGE_BYTES, fields
+        )
         async with trio.open_nursery() as ports:
-            ports.start_soon(self._serve, caller_app, caller_config)
-            ports.start_soon(self._serve, peer_app, peer_config)
+            ports.start_soon(callers.run, self._driver.wait_stopped)
+            ports.start_soon(nodes.run, self._driver.wait_stopped)
 
     def _read_status(self) -> NodeStatus:
         core = self._driver.node
@@ -141,8 +166,27 @@
         config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT
         return config
 
-    async def _serve(self, app: QuartTrio, config: Config) -> None:
-        await serve(app, config, shutdown_trigger=self._driver.wait_stopped)
+    def _make_gate(self, name: str, shares: IntakeShares) -> IntakeGate:
+        limits = self._derive_limits(shares)
+
+        def log(event: str, _: str | None, **fields: t.Any) -> None:
+            if event == "intake_closed":
+                self._metrics.count("intake.closed", fields["closed"])
+                self._logger.warning("intake_closed", extra=fields)
+                return
+            self._logger.error("connection_failed", extra=fields)
+
+        return IntakeGate(name, limits, log)
+
+    def _derive_limits(self, shares: IntakeShares) -> IntakeLimits:
+        intake = self._settings.intake
+        memory = int(intake.memory_mb * 2**20)
+        if not memory:
+            memory = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+        max_fds = intake.max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if max_fds == resource.RLIM_INFINITY:
+            max_fds = MAX_FDS
+        return derive_limits(shares, memory, max_fds)
 
     async def _watch_signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/src/tarragonrudder/edges/settings.py
+++ b/src/tarragonrudder/edges/settings.py
@@ -14,6 +14,7 @@
 )
 from rapidfuzz import process as fuzzy
 
+from tarragonrudder.edges.connection import MAX_FIELDS
 from tarragonrudder.edges.ini import Fault, IniText, read_ini
 from tarragonrudder.errors import SettingsError
 
@@ -123,6 +124,20 @@
         return self
 
 
+class IntakeSettings(BaseModel):
+    """Section ``[intake]``: what clients may hold of the VM; 0 asks the VM."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    memory_mb: float = Field(
+        0, ge=0, allow_inf_nan=False, description="memory of the VM for this process"
+    )
+    max_fds: int = Field(0, ge=0, description="descriptors that the process may open")
+    max_fields: int = Field(
+        MAX_FIELDS, gt=0, description="most header fields of a request"
+    )
+
+
 class Settings(BaseModel):
     """All settings of one node."""
 
@@ -132,6 +147,7 @@
     platform: PlatformSettings
     statsd: StatsdSettings = StatsdSettings()
     tls: TlsSettings = TlsSettings()
+    intake: IntakeSettings = IntakeSettings()
 
 
 def read_settings(path: pathlib.Path) -> Settings:
