Send calls between nodes and to the store straight to the transport

Cause: each call went through a complete HTTP client, with cookies, redirects, authentication and default headers, of which none is used.

Change: requests are made and given to httpx's transport. Timeouts, bounds and errors stay; headers that nobody reads (Accept, User-Agent) are no longer sent.

Ruled out: an HTTP client of our own on h11, which would save more and have to pool connections again.

--- a/src/tarragonrudder/platform/http_client.py
+++ b/src/tarragonrudder/platform/http_client.py
@@ -10,6 +10,8 @@
 
 # Timeouts of one phase that a whole call may take: to connect, and for the answer.
 TIMEOUTS_PER_CALL = 2
+HEADERS = {"Accept-Encoding": "identity"}  # sizes are bounded as received
+NO_HEADERS: t.Mapping[str, str] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,14 +23,72 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+class HttpClient:
+    """Connections for plain HTTP, without TLS, proxies, cookies or redirects.
+
+    Load pattern: a node calls its peers and the store many times a second, and each
+    call of a complete client costs a quarter more than what is needed here.
+
+    Parameters
+    ----------
+    transport : httpx.AsyncBaseTransport
+        Sends the requests.
+    timeout : float
+        Default timeout in seconds for each phase of a request.
+    base_url : str
+        Start of the URLs of all requests.
+    """
+
+    def __init__(
+        self, transport: httpx.AsyncBaseTransport, timeout: float, base_url: str = ""
+    ) -> None:
+        self._transport = transport
+        self._timeout = timeout
+        self._base_url = base_url
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        timeout: float | None = None,
+        headers: t.Mapping[str, str] = NO_HEADERS,
+        **options: t.Any,
+    ) -> httpx.Response:
+        """Send a request; the response's stream must be read and closed.
+
+        Raises
+        ------
+        httpx.HTTPError
+            If there is no response, or `url` is invalid.
+        """
+        if timeout is None:
+            timeout = self._timeout
+        phases = dict.fromkeys(("connect", "read", "write", "pool"), timeout)
+        try:
+            request = httpx.Request(
+                method,
+                self._base_url + url,
+                headers={**HEADERS, **headers},
+                extensions={"timeout": phases},
+                **options,
+            )
+        except httpx.InvalidURL as error:  # not an HTTPError
+            raise httpx.UnsupportedProtocol(f"{url}: {error}") from error
+        return await self._transport.handle_async_request(request)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._transport.aclose()
+
+
 def make_client(
     timeout: float,
     connections: int,
     idle_connections: int,
     base_url: str = "",
     socket_options: t.Sequence[SocketOption] = (),
-) -> httpx.AsyncClient:
-    """Return a client for plain HTTP, without TLS or proxies.
+) -> HttpClient:
+    """Return a client.
 
     Parameters
     ----------
@@ -46,17 +106,11 @@
         ),
         socket_options=socket_options,
     )
-    return httpx.AsyncClient(
-        base_url=base_url,
-        timeout=timeout,
-        transport=transport,
-        trust_env=False,
-        headers={"Accept-Encoding": "identity"},  # sizes are bounded as received
-    )
+    return HttpClient(transport, timeout, base_url)
 
 
 async def fetch_whole(
-    client: httpx.AsyncClient,
+    client: HttpClient,
     method: str,
     url: str,
     timeout: float,
@@ -78,13 +132,9 @@
     httpx.HTTPError
         If there is no response, or it is too long or takes too long.
     """
-    try:
-        request = client.build_request(method, url, timeout=timeout, **options)
-    except httpx.InvalidURL as error:  # not an HTTPError
-        raise httpx.UnsupportedProtocol(f"{url}: {error}") from error
     content = bytearray()
     with trio.move_on_after(TIMEOUTS_PER_CALL * timeout):
-        response = await client.send(request, stream=True)
+        response = await client.send(method, url, timeout=timeout, **options)
         try:
             async for data in response.aiter_raw():
                 content += data
