Tell a client's connections to two side addresses apart

Cause: GuardedServer found a request's connection by the client's address and port; a client may use one port towards two addresses of a server. What one request held was then counted off the other connection, and stayed counted on its own.

Change: both ends name the connection.

--- a/src/tarragonrudder/edges/guarded_server.py
+++ b/src/tarragonrudder/edges/guarded_server.py
@@ -28,6 +28,7 @@
 FRAMING_RATIO = 5  # more for each byte of the body; chunks of one byte stay below
 
 Message: t.TypeAlias = dict[str, t.Any]
+Address: t.TypeAlias = tuple[str, int]
 
 
 class GuardedStream(trio.abc.HalfCloseableStream):
@@ -133,7 +134,7 @@
         )
         self._max_fields = max_fields
         self._context = WorkerContext(None)
-        self._streams: dict[tuple[str, int], GuardedStream] = {}
+        self._streams: dict[tuple[Address, Address], GuardedStream] = {}
 
     async def run(
         self, wait_stopped: t.Callable[[], t.Awaitable[None]] = trio.sleep_forever
@@ -182,6 +183,7 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         try:
             client = stream.socket.getpeername()[:2]
+            ends = (client, stream.socket.getsockname()[:2])
         except OSError:  # reset meanwhile
             await trio.aclose_forcefully(stream)
             return
@@ -190,7 +192,7 @@
             await trio.aclose_forcefully(stream)
             return
         guarded = GuardedStream(stream, ticket, self._max_request_bytes)
-        self._streams[client] = guarded
+        self._streams[ends] = guarded
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_close_when_cancelled, stream)
@@ -200,8 +202,8 @@
             self._gate.report_fault(error)
         finally:
             ticket.close()
-            if self._streams.get(client) is guarded:
-                del self._streams[client]
+            if self._streams.get(ends) is guarded:
+                del self._streams[ends]
 
     async def _serve_stream(self, guarded: GuardedStream) -> None:
         served: trio.abc.Stream = guarded
@@ -219,8 +221,11 @@
         *_: t.Any,
     ) -> None:
         """Run the application, and note the beginning and end of a request."""
-        stream = self._streams.get(tuple(scope.get("client") or ()))
-        if scope["type"] != "http" or stream is None:
+        stream = None
+        if scope["type"] == "http":
+            ends = (tuple(scope["client"]), tuple(scope["server"]))
+            stream = self._streams.get(ends)
+        if stream is None:
             await self._app(scope, receive, send)
             return
         fields = len(scope["headers"])
