--- a/tests/forwarding/callers.py
+++ b/tests/forwarding/callers.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from tarragonrudder.core.forwarding.answer_lengths import Declared
 from tarragonrudder.core.forwarding.path import Path
 from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.edges.job import Job, Sender
@@ -131,7 +132,7 @@
 
     async def run(self, path):
         """Hold room on a path for the time of a stream."""
-        load = PathLoad(self.state.usage_tracker, 976)
+        load = PathLoad(self.state.usage_tracker, 760, Declared(216))
         load.switch_to(path)
         await trio.sleep(self.source.uniform(0.5, 1.5) * self.hold_time)
         load.release()
