--- a/src/tarragonrudder/edges/guarded_server.py
+++ b/src/tarragonrudder/edges/guarded_server.py
@@ -16,6 +16,7 @@
 from quart_trio import QuartTrio
 
 from tarragonrudder.core.admission.intake_budget import FIELD_BYTES
+from tarragonrudder.edges.connection import FRAMING_RATIO, MAX_FRAMING_BYTES
 from tarragonrudder.edges.intake_gate import IntakeGate, IntakeTicket
 
 # Seconds that a client has for a write, and bytes a second that it must take beyond
@@ -23,9 +24,6 @@
 SEND_SPAN = 10.0
 LEAST_SEND_RATE = 4096
 HANDSHAKE_TIMEOUT = 10.0  # seconds of TLS
-# Bytes of a request beyond its body: its head and the framing of chunks.
-MAX_FRAMING_BYTES = 128 * 1024
-FRAMING_RATIO = 5  # more for each byte of the body; chunks of one byte stay below
 
 Message: t.TypeAlias = dict[str, t.Any]
 Address: t.TypeAlias = tuple[str, int]
