Bound a compressed state of a peer like a plain one

A client that reaches the control port could send 2.5 MB that unpack to 16 MB: reading it raised a process from 185 to 475 MiB, over the memory of a small VM, past the bound on bodies. Cause: the bound once decompressed was four times that of a plain body.

Change: one bound, 4 MiB, for both. The message is refused as a whole (peer_invalid).

Before: 1 of 3 cases of the new test failed. After: 100 passed in its file, test_odd_peers, test_older_builds, test_guarded_server and test_operations; the same body is refused at 185 MiB.

--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -36,6 +36,7 @@
     read_platform_settings,
 )
 from tarragonrudder.platform.peer_gossip import PeerGossip
+from tarragonrudder.platform.peer_message import MAX_STATE_BYTES
 from tarragonrudder.platform.registry import Registry
 from tarragonrudder.platform.upstream_client import PlatformUpstreamClient
 
@@ -47,7 +48,7 @@
 STOP_MARGIN = 0.3
 NODE_LEASE_TTL = 6.0  # seconds; peers stop contacting a node that is silent longer
 NODE_RENEW_PERIOD = 2.0  # seconds; the lease survives two lost renewals
-MAX_SIDE_BODY_BYTES = 4 << 20  # of a peer's state
+MAX_SIDE_BODY_BYTES = MAX_STATE_BYTES  # no other body is as long
 SIDE_BODY_TIMEOUT = 5  # seconds; peers give up much sooner
 DRAIN_POLL_PERIOD = 0.05  # seconds between checks for running requests
 
--- a/src/tarragonrudder/platform/peer_message.py
+++ b/src/tarragonrudder/platform/peer_message.py
@@ -36,7 +36,7 @@
     encode_view,
 )
 
-MAX_STATE_BYTES = 16 << 20  # once it is decompressed
+MAX_STATE_BYTES = 4 << 20  # plain, or once it is decompressed
 MAX_ANNOUNCED_ENDS = 256  # sent to a peer; bounds the message
 
 Seconds: t.TypeAlias = t.Annotated[FiniteFloat, Field(ge=0.0)]
--- a/tests/site/test_compressed_states.py
+++ b/tests/site/test_compressed_states.py
@@ -6,6 +6,7 @@
 
 from tarragonrudder.edges.background import BackgroundTasks
 from tarragonrudder.platform.compression import MARK, compress
+from tarragonrudder.platform.daemon import MAX_SIDE_BODY_BYTES
 from tarragonrudder.platform.peer_message import (
     PeerMessageError,
     decode_state,
@@ -104,3 +105,16 @@
         await trio.sleep(4.0)
         nursery.cancel_scope.cancel()
     assert not any(fleet.sent["n:4"])
+
+
+@pytest.mark.parametrize(("size", "is_read"), [(0.9, True), (1.1, False), (4.0, False)])
+def test_compressed_state_is_bounded_like_a_plain_one(size, is_read):
+    # A short one that unpacked to four times as much took a small VM's memory.
+    rows = int(size * MAX_SIDE_BODY_BYTES / 16)
+    usage = {f"{number:07d}": (0, 0) for number in range(rows)}
+    content = compress(orjson.dumps({**MESSAGE, "usage": usage}))
+    if is_read:
+        assert len(decode_state(content).usage) == rows
+        return
+    with pytest.raises(PeerMessageError):
+        decode_state(content)
