Tell when a node has spent its share of the retry budget

Callers saw "too many requests were sent again" and nothing told which service, how much was spent of how much, for how many nodes the share was computed, or how old the process was. These tell apart a wrong number of nodes, a budget that a restart has renewed, and a share that is not where the retries are.

New log event retries_exhausted and metrics retries_spent, retries_allowed and retry_nodes. No decision changes.

--- a/src/tarragonrudder/core/forwarding/windowed_retry_budget.py
+++ b/src/tarragonrudder/core/forwarding/windowed_retry_budget.py
@@ -1,6 +1,7 @@
 """A node's share of the fleet's retry budget."""
 
 import collections
+from dataclasses import dataclass
 
 # Part of its share that a node spends. The rest covers nodes that joined or left
 # without every node knowing it yet.
@@ -8,6 +9,25 @@
 BUCKETS = 20  # per window; the sum is exact to one bucket
 
 
+@dataclass(frozen=True, slots=True)
+class RetryAllowance:
+    """What a node may spend on retries for a service.
+
+    Attributes
+    ----------
+    spent : float
+        Retries in the current window.
+    allowed : float
+        Retries that the node may make in the window.
+    nodes : int
+        Number of nodes that are taken to share the slack.
+    """
+
+    spent: float
+    allowed: float
+    nodes: int
+
+
 class WindowedRetryBudget:
     """Retries allowed in a sliding window, for each service.
 
@@ -36,20 +56,32 @@
         """Set the number of nodes that share the slack."""
         self._node_count = max(1, count)
 
+    def list_services(self) -> list[str]:
+        """Return the services that have had requests."""
+        return list(self._requests)
+
     def deposit(self, service: str, now: float) -> None:
         """Count a caller's request."""
         self._find(self._requests, service).add(now)
 
     def withdraw(self, service: str, now: float) -> bool:
         """Take one retry; return False if the budget is exhausted."""
-        requests = self._find(self._requests, service).sum(now)
-        retries = self._find(self._retries, service)
-        allowed = self._ratio * requests + self._slack / self._node_count
-        if retries.sum(now) + 1 > SAFE_SHARE * allowed:
+        allowance = self.measure(service, now)
+        if allowance.spent + 1 > allowance.allowed:
             return False
-        retries.add(now)
+        self._find(self._retries, service).add(now)
         return True
 
+    def measure(self, service: str, now: float) -> RetryAllowance:
+        """Return what is spent and allowed in the window that ends now."""
+        requests = self._find(self._requests, service).sum(now)
+        share = self._ratio * requests + self._slack / self._node_count
+        return RetryAllowance(
+            spent=self._find(self._retries, service).sum(now),
+            allowed=SAFE_SHARE * share,
+            nodes=self._node_count,
+        )
+
     def refund(self, service: str, withdrawn_at: float) -> None:
         """Return a retry that was not sent."""
         self._find(self._retries, service).remove(withdrawn_at)
--- a/src/tarragonrudder/edges/job.py
+++ b/src/tarragonrudder/edges/job.py
@@ -101,6 +101,11 @@
         self.state = state
         self.upstreams = upstreams
         self.log = log
+        self._started_at: float | None = None
+
+    def start(self) -> None:
+        """Note when the process began to serve."""
+        self._started_at = trio.current_time()
 
     def start_send(self, job: Job, names: t.Sequence[str]) -> bool:
         """Count a send; return False if the limit or the retry budget is exhausted.
@@ -120,6 +125,7 @@
         now = trio.current_time()
         if job.sends > 0:
             if not self.state.retry_budget.withdraw(job.service, now):
+                self._log_exhausted(job, now)
                 return False
             job.retried_at.append(now)
         self.state.upstream_gate.take(names, now)
@@ -199,6 +205,22 @@
             retry_after=response.retry_after,
         )
 
+    def _log_exhausted(self, job: Job, now: float) -> None:
+        allowance = self.state.retry_budget.measure(job.service, now)
+        uptime = None
+        if self._started_at is not None:
+            uptime = round(now - self._started_at, 3)
+        self.log(
+            "retries_exhausted",
+            job.request.request_id,
+            service=job.service,
+            spent=allowance.spent,
+            allowed=round(allowance.allowed, 2),
+            nodes=allowance.nodes,
+            uptime=uptime,
+            sends=job.sends,
+        )
+
     def log_held(self, job: Job, reason: str) -> None:
         """Log that a request waits for upstreams that have asked not to get it."""
         self.log(
--- a/src/tarragonrudder/edges/relay.py
+++ b/src/tarragonrudder/edges/relay.py
@@ -68,7 +68,7 @@
     ) -> None:
         self._state = state
         self._log = log
-        sender = Sender(state, upstreams, log)
+        self._sender = sender = Sender(state, upstreams, log)
         self._stall_prober = StallProber(sender)
         self._plain_calls = PlainCalls(sender)
         self._path_waiters = PathWaiters(state.urgencies, state.account_shares)
@@ -79,6 +79,7 @@
     def start(self, tasks: BackgroundTasks) -> None:
         """Start tasks that outlive a request."""
         self._note_start()
+        self._sender.start()
         self._stall_prober.start(tasks)
         self._path_waiters.start(tasks)
 
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -320,6 +320,7 @@
             telemetry.set("intake_closed", gate.closed, gate.name)
         telemetry.set("requests_waiting", self._relay.waiting)
         self._update_line_gauges(now)
+        self._update_retry_gauges(now)
         telemetry.set("configuration_version", self.state.version)
         telemetry.set("store_away", self.registry.is_store_unavailable)
         telemetry.set("store_epoch", self._store.epoch)
@@ -345,6 +346,14 @@
         for service, rate in self.state.room.measure_rates(now).items():
             self._telemetry.set("room_freed", round(rate, 3), service)
 
+    def _update_retry_gauges(self, now: float) -> None:
+        budget = self.state.retry_budget
+        for service in budget.list_services():
+            allowance = budget.measure(service, now)
+            self._telemetry.set("retries_spent", allowance.spent, service)
+            self._telemetry.set("retries_allowed", allowance.allowed, service)
+            self._telemetry.set("retry_nodes", allowance.nodes)
+
     async def _run_maintenance(self) -> None:
         while True:
             due = trio.current_time() + MAINTENANCE_PERIOD
