Keep the retry budget over restarts and lapsed leases

Callers saw nothing wrong; upstreams got more repeats than the budget allows once all nodes had restarted or the store had lost their leases.

Cause: a node divided the slack by the nodes that it knew at that moment: itself alone until the first maintenance run, then its seeds, then a list of nodes that was still filling. And a new process spent its share once more in the window in which the one before it had spent it.

Change: a node remembers for a window which nodes it has listed or heard, and peers tell each other how many that are; the slack is divided by the largest count of that time, and isn't used at all while no count is known. In its first window a process spends only the part of its share that the process before it has left in any case. The count that is told leaves out what peers have told, so that it can't live on between nodes. A state of an older build tells no count.

Ruled out: a share that grows with the age of the process (a burst just before the restart and the new share exceed the budget together); writing what was spent to the store (calls grow with the nodes, for 10 s of memory).

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -24,6 +24,7 @@
     compute_reserve,
 )
 from tarragonrudder.core.forwarding.crash_tracker import CrashReport, CrashTracker
+from tarragonrudder.core.forwarding.known_nodes import KnownNodes
 from tarragonrudder.core.forwarding.path import (
     Path,
     PathFinder,
@@ -80,6 +81,9 @@
 CUT_MESSAGE = "this node reaches neither upstreams nor a node that has room"
 REMOTE_PENALTY = 0.15  # added slot utilization, to prefer the own data centre
 LIMITED_PENALTY = 0.3  # added slot utilization, to spare upstreams in need
+# Seconds for which a node counts after it was last listed or heard: at least the window
+# of the retry budget, and longer than nodes need to register again.
+NODE_PERIOD = 10.0
 MAX_SHORTAGE_RETRY_AFTER = 30.0  # seconds; other upstreams may have come by then
 JITTER = 0.1  # random slot utilization, so that nodes don't all choose alike
 
@@ -125,6 +129,7 @@
         self.room = RoomEstimator(source)
         self.answer_lengths = AnswerLengths()
         self.retry_budget = retry_budget
+        self.known_nodes = KnownNodes(node, max(NODE_PERIOD, retry_budget.window))
         self.crash_tracker = CrashTracker()
         self._reported_blocks: frozenset[Trait] = frozenset()
         self.slowness = SlownessTracker()
@@ -208,6 +213,16 @@
             self.retry_budget.deposit(service, request.arrived)
         return route, account, service
 
+    def note_listed_nodes(self, names: t.Iterable[str], now: float) -> None:
+        """Record the names on the store's list of nodes."""
+        self.known_nodes.note_listed(names, now)
+        self._share_among_nodes(now)
+
+    def note_heard_node(self, name: str, told: int, now: float) -> None:
+        """Record a message of a node, and how many nodes it has listed or heard."""
+        self.known_nodes.note_heard(name, told, now)
+        self._share_among_nodes(now)
+
     def find_target(self, name: str) -> Registration | None:
         """Return the upstream or other node of a name."""
         return self.upstream_table.find(name) or self.peer_table.find(name)
@@ -701,6 +716,9 @@
         self.on_news()
         return True
 
+    def _share_among_nodes(self, now: float) -> None:
+        self.retry_budget.set_node_count(self.known_nodes.count(now))
+
     def _make_length_key(self, request: ForwardedRequest, service: str) -> LengthKey:
         route = None
         if self.route_table is not None:
--- a/src/tarragonrudder/core/forwarding/windowed_retry_budget.py
+++ b/src/tarragonrudder/core/forwarding/windowed_retry_budget.py
@@ -1,11 +1,18 @@
 """A node's share of the fleet's retry budget."""
 
 import collections
+import math
 from dataclasses import dataclass
 
 # Part of its share that a node spends. The rest covers nodes that joined or left
 # without every node knowing it yet.
 SAFE_SHARE = 0.8
+# Part of its share of the slack that a node spends in its first window. The node that
+# ran under its name before may have spent `SAFE_SHARE` of it in the same window.
+START_SHARE = 1.0 - SAFE_SHARE
+# Seconds from its start within which a node gets that part. Nodes that lost their
+# leases register again in this time, so that its list of nodes is complete.
+START_PERIOD = 2.0
 BUCKETS = 20  # per window; the sum is exact to one bucket
 
 
@@ -20,7 +27,7 @@
     allowed : float
         Retries that the node may make in the window.
     nodes : int
-        Number of nodes that are taken to share the slack.
+        Number of nodes that are taken to share the slack; 0 if it is unknown.
     """
 
     spent: float
@@ -32,7 +39,8 @@
     """Retries allowed in a sliding window, for each service.
 
     Load pattern: one fault hits many requests on all nodes at once; their
-    retries must not multiply the load while the fleet is short of upstreams.
+    retries must not multiply the load while the fleet is short of upstreams. All
+    nodes may have restarted a moment ago, and the list of nodes may still be short.
 
     Parameters
     ----------
@@ -42,19 +50,30 @@
         Retries allowed beyond that, shared by all nodes.
     window : float
         Length of the window, in seconds.
+
+    Attributes
+    ----------
+    window : float
+        Length of the window, in seconds.
     """
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
         self._ratio = ratio
         self._slack = slack
-        self._window = window
+        self.window = window
         self._node_count = 1
+        self._started_at = -math.inf
         self._requests: dict[str, _Counter] = {}
         self._retries: dict[str, _Counter] = {}
 
+    def start(self, now: float) -> None:
+        """Begin the first window of a process, whose nodes are unknown."""
+        self._started_at = now
+        self._node_count = 0
+
     def set_node_count(self, count: int) -> None:
-        """Set the number of nodes that share the slack."""
-        self._node_count = max(1, count)
+        """Set the number of nodes that share the slack; 0 if it is unknown."""
+        self._node_count = count
 
     def list_services(self) -> list[str]:
         """Return the services that have had requests."""
@@ -75,21 +94,27 @@
     def measure(self, service: str, now: float) -> RetryAllowance:
         """Return what is spent and allowed in the window that ends now."""
         requests = self._find(self._requests, service).sum(now)
-        share = self._ratio * requests + self._slack / self._node_count
-        return RetryAllowance(
-            spent=self._find(self._retries, service).sum(now),
-            allowed=SAFE_SHARE * share,
-            nodes=self._node_count,
-        )
+        allowed = SAFE_SHARE * self._ratio * requests
+        if self._node_count > 0:
+            allowed += self._measure_part(now) * self._slack / self._node_count
+        spent = self._find(self._retries, service).sum(now)
+        return RetryAllowance(spent, allowed, self._node_count)
 
     def refund(self, service: str, withdrawn_at: float) -> None:
         """Return a retry that was not sent."""
         self._find(self._retries, service).remove(withdrawn_at)
 
+    def _measure_part(self, now: float) -> float:
+        """Return the part of its share of the slack that the node may spend."""
+        age = now - self._started_at
+        if age >= self.window:
+            return SAFE_SHARE
+        return START_SHARE * min(1.0, age / START_PERIOD)
+
     def _find(self, counters: dict[str, "_Counter"], service: str) -> "_Counter":
         counter = counters.get(service)
         if counter is None:
-            counter = counters[service] = _Counter(self._window)
+            counter = counters[service] = _Counter(self.window)
         return counter
 
 
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -169,6 +169,7 @@
     async def run(self) -> None:
         """Serve until a planned stop has completed."""
         settings = self._settings
+        self.state.retry_budget.start(trio.current_time())
         self._telemetry.log_event("started", zone=settings.zone, ip=settings.ip)
         async with trio.open_nursery() as nursery:
             await nursery.start(
@@ -366,19 +367,18 @@
             self.state.crash_tracker.expire(now)
             self.state.upstream_gate.expire(now)
             self.state.peer_table.expire(now)
-            self._update_nodes()
+            self._update_nodes(now)
             self.state.usage_tracker.set_node_count(self.registry.node_count)
-            self.state.retry_budget.set_node_count(
-                1 + len(self.peers.list_peer_addresses())
-            )
             self._telemetry.flush()
 
-    def _update_nodes(self) -> None:
-        """Set the nodes that share the upstreams' limits.
+    def _update_nodes(self, now: float) -> None:
+        """Set the nodes that share the upstreams' limits and the retry budget.
 
         Load pattern: after an outage of the store the list of nodes may be empty for
         a moment; a node must not take all of a limit for itself then.
         """
+        if self.registry.has_snapshot:
+            self.state.note_listed_nodes(self.registry.node_names, now)
         heard = self.peers.list_heard(NODE_LEASE_TTL)
         if self.registry.has_snapshot or heard:
             self.state.limits.set_nodes([*self.registry.node_names, *heard])
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -342,6 +342,7 @@
             view=self._registry.describe_view(peer_position),
             reads_compressed=True,
             lengths=self._state.answer_lengths.snapshot(now),
+            nodes=self._state.known_nodes.count_seen(now),
         )
 
     def _merge_state(self, message: PeerState) -> None:
@@ -352,6 +353,7 @@
             self._heard_at[node] = now
         if len(self._known_addresses) < MAX_KNOWN_PEERS:
             self._known_addresses.add(message.address)
+        self._state.note_heard_node(node, message.nodes, now)
         self._state.usage_tracker.set_peer(node, message.usage, now)
         self._state.answer_lengths.merge(node, message.lengths, now)
         if message.lengths_dropped:
--- a/src/tarragonrudder/platform/peer_message.py
+++ b/src/tarragonrudder/platform/peer_message.py
@@ -75,6 +75,8 @@
         What it has learned of answers' lengths; mostly empty.
     lengths_dropped : int
         Rows of them that were left out, as they can't be right.
+    nodes : int
+        How many nodes it has listed or heard itself; 0 of an older build.
     """
 
     node: str
@@ -92,6 +94,7 @@
     reads_compressed: bool = False
     lengths: t.Mapping[LengthKey, LengthSums] = field(default_factory=dict)
     lengths_dropped: int = 0
+    nodes: int = 0
 
 
 class _Part(BaseModel):
@@ -120,6 +123,7 @@
     view: t.Any = None
     compressed: bool = False
     lengths: t.Any = None
+    nodes: Count = 0
 
 
 _ENTRIES = TypeAdapter(dict[Name, str])
@@ -153,6 +157,7 @@
             "view": encode_view(state.view),
             "compressed": state.reads_compressed,
             "lengths": encode_lengths(state.lengths),
+            "nodes": state.nodes,
         }
     )
 
@@ -198,6 +203,7 @@
         reads_compressed=found.compressed,
         lengths=lengths,
         lengths_dropped=lengths_dropped,
+        nodes=found.nodes,
     )
 
 
--- a/src/tarragonrudder/platform/registry.py
+++ b/src/tarragonrudder/platform/registry.py
@@ -400,6 +400,7 @@
         if not self.has_snapshot:
             self.has_snapshot = True
             self._snapshot_at = trio.current_time()
+        self._state.note_listed_nodes(self.node_names, trio.current_time())
 
     def _apply_changes(self, changes: Changes, read_at: float) -> None:
         """Apply changes that were complete up to a time."""
--- a/tests/forwarding/test_counts.py
+++ b/tests/forwarding/test_counts.py
@@ -3,12 +3,16 @@
 import pytest
 
 from tarragonrudder.core.forwarding.event_gaps import EventGaps
+from tarragonrudder.core.forwarding.known_nodes import MAX_NODES, KnownNodes
 from tarragonrudder.core.forwarding.usage_tracker import (
     PEER_PERIOD,
     Usage,
     UsageTracker,
 )
-from tarragonrudder.core.forwarding.windowed_retry_budget import WindowedRetryBudget
+from tarragonrudder.core.forwarding.windowed_retry_budget import (
+    START_PERIOD,
+    WindowedRetryBudget,
+)
 
 
 @pytest.mark.parametrize("nodes", [1, 3, 7])
@@ -26,6 +30,69 @@
     assert 0 < total <= 0.2 * requests * nodes + 198
 
 
+@pytest.mark.parametrize("requests", [0, 20, 200])
+@pytest.mark.parametrize("age", [0.5, START_PERIOD, 9.9])
+@pytest.mark.parametrize("nodes", [1, 7, 86])
+def test_node_and_its_successor_stay_within_one_share(nodes, age, requests):
+    # Load pattern: all nodes lose power in the middle of a fault that lasts.
+    total = 0
+    for started_at in (-20.0, 5.0):
+        budget = WindowedRetryBudget(0.2, 198.0, 10.0)
+        budget.start(started_at)
+        budget.set_node_count(nodes)
+        now = 5.0 if started_at < 0.0 else 5.0 + age
+        for _ in range(requests):
+            budget.deposit("s", now)
+        while budget.withdraw("s", now):
+            total += 1
+    assert total <= 0.2 * 2 * requests + 198.0 / nodes
+
+
+@pytest.mark.parametrize(("nodes", "expected"), [(0, 16), (1, 55), (2, 35)])
+def test_started_node_spends_a_part_of_its_share(nodes, expected):
+    # Without a count of nodes, the slack may be that of a large fleet.
+    budget = WindowedRetryBudget(0.2, 198.0, 10.0)
+    budget.start(0.0)
+    budget.set_node_count(nodes)
+    for _ in range(100):
+        budget.deposit("s", START_PERIOD)
+    count = 0
+    while budget.withdraw("s", START_PERIOD):
+        count += 1
+    assert count == expected
+
+
+# An event is a time, and the names on the list or a peer with the count that it tells.
+@pytest.mark.parametrize(
+    ("events", "now", "count", "seen"),
+    [
+        ([], 0.0, 0, 1),
+        ([(0.0, [])], 0.0, 1, 1),
+        ([(0.0, ["a"])], 0.0, 1, 1),
+        ([(0.0, ["a", "b", "c"])], 1.0, 3, 3),
+        ([(0.0, ["b", "c"]), (1.0, [])], 9.0, 3, 3),
+        ([(0.0, ["b", "c"]), (1.0, [])], 10.5, 1, 1),
+        ([(0.0, ["b"]), (1.0, ("c", 0))], 2.0, 3, 3),
+        ([(0.0, ("b", 0))], 0.0, 0, 2),
+        ([(0.0, ("b", 86))], 0.0, 86, 2),
+        ([(0.0, ("b", 86)), (1.0, ("c", 5))], 9.0, 86, 3),
+        ([(0.0, ("b", 86)), (1.0, ("b", 5))], 9.0, 5, 2),
+        ([(0.0, ("b", 86))], 11.0, 1, 1),
+        ([(0.0, ("b", 10**9))], 0.0, MAX_NODES, 2),
+    ],
+)
+def test_nodes_count_for_a_period_after_they_were_seen(events, now, count, seen):
+    known_nodes = KnownNodes("a", 10.0)
+    for at, event in events:
+        match event:
+            case list():
+                known_nodes.note_listed(event, at)
+            case (name, told):
+                known_nodes.note_heard(name, told, at)
+    assert known_nodes.count(now) == count
+    assert known_nodes.count_seen(now) == seen
+
+
 def test_retry_budget_refills_with_the_window():
     budget = WindowedRetryBudget(0.2, 10.0, 10.0)
     while budget.withdraw("s", 0.0):
