Keep shares of limits and loads while the list of nodes is short

An upstream that named a limit got more than it from a node whose list of nodes had emptied after leases lapsed; the node also took its own load and that of the one peer it had heard for all there is, and read the store as often as a fleet of one.

Each of these was divided by the nodes on the list at that moment; the limits added those heard in the last 6 s, the others nothing.

Change: all of them use the nodes listed or heard within the last 10 s. The gossip's own record of the nodes heard is gone.

Before: test_lapsed_leases_do_not_raise_shares_of_a_node failed in 2 of 2 cases: a share of 9.0 or 1.35 requests a second instead of 0.54, 2 requests in flight instead of 8.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -717,7 +717,10 @@
         return True
 
     def _share_among_nodes(self, now: float) -> None:
-        self.retry_budget.set_node_count(self.known_nodes.count(now))
+        count = self.known_nodes.count(now)
+        self.retry_budget.set_node_count(count)
+        self.usage_tracker.set_node_count(max(1, count))
+        self.limits.set_nodes(self.known_nodes.list_names(now))
 
     def _make_length_key(self, request: ForwardedRequest, service: str) -> LengthKey:
         route = None
--- a/src/tarragonrudder/platform/daemon.py
+++ b/src/tarragonrudder/platform/daemon.py
@@ -367,22 +367,10 @@
             self.state.crash_tracker.expire(now)
             self.state.upstream_gate.expire(now)
             self.state.peer_table.expire(now)
-            self._update_nodes(now)
-            self.state.usage_tracker.set_node_count(self.registry.node_count)
+            if self.registry.has_snapshot:
+                self.state.note_listed_nodes(self.registry.node_names, now)
             self._telemetry.flush()
 
-    def _update_nodes(self, now: float) -> None:
-        """Set the nodes that share the upstreams' limits and the retry budget.
-
-        Load pattern: after an outage of the store the list of nodes may be empty for
-        a moment; a node must not take all of a limit for itself then.
-        """
-        if self.registry.has_snapshot:
-            self.state.note_listed_nodes(self.registry.node_names, now)
-        heard = self.peers.list_heard(NODE_LEASE_TTL)
-        if self.registry.has_snapshot or heard:
-            self.state.limits.set_nodes([*self.registry.node_names, *heard])
-
     async def _watch_signals(self) -> None:
         """Reload on SIGHUP; on SIGTERM stop the node, then return."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
--- a/src/tarragonrudder/platform/peer_gossip.py
+++ b/src/tarragonrudder/platform/peer_gossip.py
@@ -103,7 +103,6 @@
         self._known_addresses: set[str] = set()
         # Addresses in other data centres of nodes that read compressed states.
         self._far_readers: set[str] = set()
-        self._heard_at: dict[str, float] = {}
         self._tasks: BackgroundTasks | None = None
         self._pacer = AnnouncementPacer()
         self._pending_fanout = 0  # of the announcement that is scheduled
@@ -195,13 +194,6 @@
         """Tell whether a node has answered in the last `HEARD_PERIOD` seconds."""
         return trio.current_time() - self._answered_at <= HEARD_PERIOD
 
-    def list_heard(self, period: float) -> list[str]:
-        """Return the names of the nodes heard in the last `period` seconds."""
-        oldest = trio.current_time() - period
-        for name in [name for name, at in self._heard_at.items() if at < oldest]:
-            del self._heard_at[name]
-        return list(self._heard_at)
-
     async def _run_rounds(self, tasks: BackgroundTasks) -> None:
         while True:
             # Without the store's list of nodes, those who know more may be missed.
@@ -349,8 +341,6 @@
         """Merge another node's state."""
         now = trio.current_time()
         node = message.node
-        if len(self._heard_at) < MAX_KNOWN_PEERS:
-            self._heard_at[node] = now
         if len(self._known_addresses) < MAX_KNOWN_PEERS:
             self._known_addresses.add(message.address)
         self._state.note_heard_node(node, message.nodes, now)
--- a/src/tarragonrudder/platform/registry.py
+++ b/src/tarragonrudder/platform/registry.py
@@ -150,8 +150,8 @@
 
     @property
     def node_count(self) -> int:
-        """Number of registered nodes, at least 1; may not include this one yet."""
-        return max(1, len(self.node_addresses))
+        """Number of nodes that were listed or heard lately, at least 1."""
+        return max(1, self._state.known_nodes.count(trio.current_time()))
 
     @property
     def node_names(self) -> list[str]:
--- a/tests/site/test_retry_budget.py
+++ b/tests/site/test_retry_budget.py
@@ -4,7 +4,12 @@
 import pytest
 import trio
 
-from tarragonrudder.platform.daemon import NODE_LEASE_TTL, PlatformDaemon
+from tarragonrudder.core.forwarding.usage_tracker import Usage
+from tarragonrudder.platform.daemon import (
+    MAINTENANCE_PERIOD,
+    NODE_LEASE_TTL,
+    PlatformDaemon,
+)
 from tarragonrudder.platform.node_settings import BoundsSettings
 from tarragonrudder.platform.protocol import NODE_PREFIX
 from tests.site.site import Node, open_site
@@ -142,3 +147,35 @@
     assert 0.0 < told["uptime"] < NODE_LEASE_TTL
     spent = f'tarragonrudder_retries_spent{{service="engines"}} {told["spent"]}'
     assert spent in metrics
+
+
+@pytest.mark.parametrize("left", [0, 1])
+async def test_lapsed_leases_do_not_raise_shares_of_a_node(left):
+    # The node took the whole of an upstream's limit, and its own load for all.
+    async with open_site() as site:
+        engine = UpstreamStandIn("e-1", layers=(0, 79))
+        await site.add(engine)
+        keys = [f"{NODE_PREFIX}peer-{number}" for number in range(4)]
+        for number, key in enumerate(keys):
+            site.store.put(key, {"address": f"127.0.0.1:{number + 1}", "zone": "a"})
+        node = await site.add_node()
+        await trio.sleep(MAINTENANCE_PERIOD + 0.2)
+        state = node.daemon.state
+        upstream = state.upstream_table.find("e-1").incarnation
+
+        def measure():
+            now = trio.current_time()
+            state.limits.observe(upstream, 10.0, now)
+            state.usage_tracker.set_peer("peer-0", {"e-1": Usage(2, 0)}, now)
+            share = state.limits.measure_share(upstream, now)
+            registered = node.daemon.registry.node_count
+            return share, state.usage_tracker.measure("e-1").requests, registered
+
+        before = measure()
+        for key in keys[left:]:
+            site.store.remove(key)
+        with trio.fail_after(5.0):
+            while len(node.daemon.registry.node_addresses) > 1 + left:
+                await trio.sleep(0.02)
+        await trio.sleep(MAINTENANCE_PERIOD + 0.2)
+        assert measure() == before
