Bound answers without end in the product's own protocol

A faulty service or engine that sent bytes without end filled the memory of the node that had called it, and with it ended the requests of all others. A trickle, or informational answers without end, held a call for ever.

Cause: calls of services, outcomes, orders, engine states, probes, cancellations, the platform's store and list of VMs, peers and exchanges read the whole body, with a timeout for each part alone. The users' platform's path had bounds already.

Change: one reader bounds the bytes and the whole time of such a call; the platform's path uses it too. Answers aren't asked for in an encoding, and one in an encoding counts as broken, as its size would only be known afterwards. A service's answer may have 4 MiB, as callers' bodies.

Not covered: informational answers without end before a watch of the store.

--- a/src/tarragonrudder/edges/engine.py
+++ b/src/tarragonrudder/edges/engine.py
@@ -12,11 +12,13 @@
     decode_refusal,
     encode_attempt,
 )
+from tarragonrudder.edges.whole_response import fetch
 
 CONNECT_TIMEOUT = 0.5  # seconds
 CANCEL_TIMEOUT = 1.0  # seconds
 MAX_IDLE_CONNECTIONS = 256
 MAX_REFUSAL_BYTES = 64 * 1024
+MAX_SIDE_BYTES = 64 * 1024  # of an answer to a cancellation or a probe
 
 
 class EngineClient:
@@ -67,10 +69,13 @@
             "keep_cache": action.keep_cache,
         }
         try:
-            await self._client.post(
+            await fetch(
+                self._client,
+                "POST",
                 action.chain.hops[0].address + "/v1/cancel",
+                CANCEL_TIMEOUT,
+                MAX_SIDE_BYTES,
                 json=body,
-                timeout=CANCEL_TIMEOUT,
             )
         except httpx.HTTPError:
             return
@@ -78,7 +83,9 @@
     async def probe(self, upstream: str, address: str, timeout: float) -> bool:
         """Return whether an upstream answers its liveness probe in time."""
         try:
-            response = await self._client.get(address + "/livez", timeout=timeout)
+            response = await fetch(
+                self._client, "GET", address + "/livez", timeout, MAX_SIDE_BYTES
+            )
         except httpx.HTTPError:
             return False
         return response.status_code == 200
--- a/src/tarragonrudder/edges/exchange.py
+++ b/src/tarragonrudder/edges/exchange.py
@@ -19,12 +19,14 @@
 from tarragonrudder.edges.peer import MAX_MESSAGE_AGE, SIGNATURE_HEADER, PeerSecrets
 from tarragonrudder.edges.pieces import compress_piece, decompress_piece
 from tarragonrudder.edges.statsd_metrics import StatsdMetrics
+from tarragonrudder.edges.whole_response import fetch
 from tarragonrudder.errors import PeerError, PieceError
 
 EXCHANGE_PATH = "/peer/exchange"
 EXCHANGE_TIMEOUT = 2.0  # seconds
 MAX_DIGESTS = 32  # pieces requested in one query
 MAX_QUERY_BYTES = 16 * 1024
+MAX_REPLY_BYTES = 16 << 20  # `MAX_DIGESTS` pieces in base64
 
 
 class ExchangeModel(BaseModel):
@@ -107,8 +109,14 @@
         headers = {"content-type": "application/json", SIGNATURE_HEADER: signature}
         self._metrics.count("peer.bytes_sent", len(body))
         try:
-            response = await self._client.post(
-                address + EXCHANGE_PATH, content=body, headers=headers
+            response = await fetch(
+                self._client,
+                "POST",
+                address + EXCHANGE_PATH,
+                EXCHANGE_TIMEOUT,
+                MAX_REPLY_BYTES,
+                headers=headers,
+                content=body,
             )
             response.raise_for_status()
         except (httpx.HTTPError, httpx.InvalidURL) as error:
--- a/src/tarragonrudder/edges/order_client.py
+++ b/src/tarragonrudder/edges/order_client.py
@@ -7,7 +7,9 @@
 
 from tarragonrudder.core.domain.action import ReadEngineState, SendOrder
 from tarragonrudder.core.domain.event import EngineStateRead, Event, OrderAnswered
+from tarragonrudder.edges.whole_response import fetch
 
+MAX_ANSWER_BYTES = 64 * 1024
 _OUTCOMES = {200: "done", 409: "fenced"}
 
 
@@ -39,8 +41,13 @@
         # Bounds the whole call, so that it ends before the lease does.
         with trio.move_on_after(action.timeout):
             try:
-                response = await self._client.post(
-                    action.address + "/v1/orders", json=body, timeout=action.timeout
+                response = await fetch(
+                    self._client,
+                    "POST",
+                    action.address + "/v1/orders",
+                    action.timeout,
+                    MAX_ANSWER_BYTES,
+                    json=body,
                 )
                 outcome = _OUTCOMES.get(response.status_code, "refused")
             except (httpx.ConnectError, httpx.ConnectTimeout):
@@ -52,8 +59,12 @@
     async def read(self, action: ReadEngineState) -> None:
         """Post an engine's state; nothing if the state can't be read."""
         try:
-            response = await self._client.get(
-                action.address + "/v1/state", timeout=action.timeout
+            response = await fetch(
+                self._client,
+                "GET",
+                action.address + "/v1/state",
+                action.timeout,
+                MAX_ANSWER_BYTES,
             )
             response.raise_for_status()
             item = response.json()
--- a/src/tarragonrudder/edges/peer.py
+++ b/src/tarragonrudder/edges/peer.py
@@ -16,6 +16,7 @@
 from tarragonrudder.core.domain.event import NodeAddress, PeerMessageReceived
 from tarragonrudder.core.domain.message import MESSAGES, Message
 from tarragonrudder.edges.statsd_metrics import StatsdMetrics
+from tarragonrudder.edges.whole_response import fetch
 from tarragonrudder.errors import PeerError, SettingsError
 
 PEER_TIMEOUT = 2.0  # seconds
@@ -149,8 +150,14 @@
             SIGNATURE_HEADER: self._secrets.sign(body),
         }
         try:
-            response = await self._client.post(
-                address + MESSAGE_PATH, content=body, headers=headers
+            response = await fetch(
+                self._client,
+                "POST",
+                address + MESSAGE_PATH,
+                PEER_TIMEOUT,
+                MAX_MESSAGE_BYTES,
+                headers=headers,
+                content=body,
             )
             self._metrics.count("peer.bytes_sent", measure_request(response.request))
             response.raise_for_status()
--- a/src/tarragonrudder/edges/platform_client.py
+++ b/src/tarragonrudder/edges/platform_client.py
@@ -8,8 +8,12 @@
 import httpx
 
 from tarragonrudder.core.domain.action import Guard
+from tarragonrudder.edges.whole_response import PLAIN_ENCODING, fetch, read_lines
 from tarragonrudder.errors import RouterError
 
+# A listing holds a whole configuration, in pieces of up to 1 MB each.
+MAX_ANSWER_BYTES = 64 << 20
+PLAIN_HEADERS = {"accept-encoding": PLAIN_ENCODING}
 WATCH_TIMEOUT = 60.0  # seconds without a change after which a watch is reopened
 
 
@@ -166,10 +170,10 @@
         timeout = httpx.Timeout(self._timeout, read=WATCH_TIMEOUT)
         try:
             async with self._client.stream(
-                "POST", "/v3/watch", json=body, timeout=timeout
+                "POST", "/v3/watch", json=body, timeout=timeout, headers=PLAIN_HEADERS
             ) as response:
                 response.raise_for_status()
-                async for line in response.aiter_lines():
+                async for line in read_lines(response.aiter_bytes(), MAX_ANSWER_BYTES):
                     if not line:
                         continue
                     result = json.loads(line)["result"]
@@ -212,7 +216,9 @@
         other failure, even an error status, may come after the write was applied.
         """
         try:
-            response = await self._client.post(path, json=body)
+            response = await fetch(
+                self._client, "POST", path, self._timeout, MAX_ANSWER_BYTES, json=body
+            )
             response.raise_for_status()
             reply = response.json()
             if not isinstance(reply, dict):
--- a/src/tarragonrudder/edges/service.py
+++ b/src/tarragonrudder/edges/service.py
@@ -22,8 +22,11 @@
     Stalled,
     Unreachable,
 )
+from tarragonrudder.edges.whole_response import fetch
 
 CONNECT_TIMEOUT = 1.0  # seconds
+MAX_ANSWER_BYTES = 4 << 20  # as long as callers' bodies
+MAX_OUTCOME_BYTES = 6 << 20  # an answer in base64, and what is told of it
 RUN_STATE_HEADER = "tarragonrudder-run-state"
 LEAVING_HEADER = "tarragonrudder-leaving"
 RECORD_HEADER = "tarragonrudder-record"
@@ -111,10 +114,13 @@
         """Query the outcome of a call and post the reply, or None if it is unknown."""
         unknown = OutcomeRead(action.request, action.upstream, None)
         try:
-            response = await self._client.get(
+            response = await fetch(
+                self._client,
+                "GET",
                 action.address + action.path,
+                action.timeout,
+                MAX_OUTCOME_BYTES,
                 headers={RECORD_HEADER: action.record},
-                timeout=action.timeout,
             )
             reported = OutcomeBody.model_validate_json(response.content)
             body = base64.b64decode(reported.body, validate=True)
@@ -146,12 +152,15 @@
             if event == _SEND_STARTED_EVENT and self._read_clock() >= action.send_by:
                 raise _SendDeadlineExceeded
 
-        return await self._client.request(
+        return await fetch(
+            self._client,
             call_input.method,
             action.address + call_input.path,
-            content=call_input.body,
+            action.timeout,
+            MAX_ANSWER_BYTES,
             headers=_make_headers(action, call_input),
-            timeout=httpx.Timeout(action.timeout, connect=CONNECT_TIMEOUT),
+            content=call_input.body,
+            timeouts=httpx.Timeout(action.timeout, connect=CONNECT_TIMEOUT),
             extensions={"trace": check_send_deadline},
         )
 
--- a/src/tarragonrudder/edges/sync.py
+++ b/src/tarragonrudder/edges/sync.py
@@ -36,6 +36,7 @@
 )
 from tarragonrudder.edges.settings import Settings, Url
 from tarragonrudder.edges.statsd_metrics import StatsdMetrics
+from tarragonrudder.edges.whole_response import fetch
 
 NODES_PREFIX = CONTROL_PREFIX + "nodes/"
 NODE_TTL = 10.0  # seconds that a node stays registered after its last renewal
@@ -43,6 +44,7 @@
 REGISTRATION_RETRY_PERIOD = 1.0  # seconds after a failed registration
 RELIST_PERIOD = 300.0  # seconds between full reads of the list of nodes
 WATCH_RETRY_PERIOD = 1.0  # seconds until a failed or ended watch is reopened
+MAX_VMS_BYTES = 4 << 20  # of the list of VMs
 VMS_POLL_PERIOD = 2.0  # seconds between reads of the list of VMs
 GAUGE_PERIOD = 5.0  # seconds between reports of the gauges
 
@@ -226,7 +228,14 @@
         if self._vms_etag is not None:
             headers["if-none-match"] = self._vms_etag
         try:
-            response = await self._vms_client.get(address, headers=headers)
+            response = await fetch(
+                self._vms_client,
+                "GET",
+                address,
+                self._settings.platform.timeout,
+                MAX_VMS_BYTES,
+                headers=headers,
+            )
             if response.status_code == httpx.codes.NOT_MODIFIED:
                 return
             response.raise_for_status()
--- a/src/tarragonrudder/platform/http_client.py
+++ b/src/tarragonrudder/platform/http_client.py
@@ -6,11 +6,15 @@
 import httpx
 import trio
 
+from tarragonrudder.edges.whole_response import (
+    PLAIN_ENCODING,
+    TIMEOUTS_PER_CALL,
+    read_body,
+)
+
 SocketOption: t.TypeAlias = tuple[int, int, int]
 
-# Timeouts of one phase that a whole call may take: to connect, and for the answer.
-TIMEOUTS_PER_CALL = 2
-HEADERS = {"Accept-Encoding": "identity"}  # sizes are bounded as received
+HEADERS = {"Accept-Encoding": PLAIN_ENCODING}
 NO_HEADERS: t.Mapping[str, str] = {}
 
 
@@ -132,18 +136,12 @@
     httpx.HTTPError
         If there is no response, or it is too long or takes too long.
     """
-    content = bytearray()
     with trio.move_on_after(TIMEOUTS_PER_CALL * timeout):
         response = await client.send(method, url, timeout=timeout, **options)
         try:
-            async for data in response.aiter_raw():
-                content += data
-                if len(content) > max_bytes:
-                    raise httpx.ReadError(f"a body of over {max_bytes} bytes")
-                # Bytes at hand are returned without one.
-                await trio.lowlevel.checkpoint()
+            content = await read_body(response.aiter_raw(), max_bytes)
             headers = tuple(response.headers.raw)
-            return WholeResponse(response.status_code, bytes(content), headers)
+            return WholeResponse(response.status_code, content, headers)
         finally:
             await response.aclose()
     raise httpx.ReadTimeout(f"not complete in {TIMEOUTS_PER_CALL * timeout} s")
