--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -68,6 +68,10 @@
         ),
         (b"", ServiceFailed("r", 1, Crashed())),
         (OK[:-1], ServiceFailed("r", 1, Crashed())),
+        (OK[:-4], ServiceFailed("r", 1, Crashed())),
+        (OK[:10], ServiceFailed("r", 1, Crashed())),
+        (OK[: OK.index(b"content-type") + 4], ServiceFailed("r", 1, Crashed())),
+        (OK[: OK.index(b"\r\n\r\n") + 2], ServiceFailed("r", 1, Crashed())),
         (None, ServiceFailed("r", 1, Stalled())),
     ],
 )
