Keep an announced end while the upstream's entry is away

Cause: the announced end was dropped with the registration. A restored store that lists an earlier start, and an answer that is read while the entry is away, had the same effect.

Change: the end belongs to the latest start that was seen of a name, as rests do.

Ruled out: answers of a new start that are read before its entry; the logs show none.

Failed before: 8 cases of test_upstream_table.py, 4 of test_upstream_leaving.py; pass now.

--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -514,7 +514,10 @@
         is_news = False
         for incarnation in incarnations:
             upstream = self.upstream_table.find(incarnation.rpartition("@")[0])
-            if upstream is not None and upstream.incarnation == incarnation:
+            if upstream is None:
+                continue
+            latest = self.upstream_table.get_latest_incarnation(upstream)
+            if latest == incarnation:
                 is_news = self.upstream_gate.note_leaving(upstream) or is_news
         if is_news:
             self.on_news()
--- a/src/tarragonrudder/core/forwarding/upstream_table.py
+++ b/src/tarragonrudder/core/forwarding/upstream_table.py
@@ -8,7 +8,7 @@
 INITIAL_SUSPICION = 1.0  # seconds; about the shortest restart of an upstream
 MAX_SUSPICION = 8.0  # seconds; a recovered upstream must not stay idle for longer
 FAILURE_MEMORY = 10.0  # seconds without a failure after which the count restarts
-MAX_KNOWN_STARTS = 4096  # names whose latest start is remembered
+MAX_KNOWN_STARTS = 4096  # names whose latest start and announced end are remembered
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,7 @@
         self._expires_at: dict[str, float] = {}
         self._health: dict[str, Health] = {}
         self._by_address: dict[str, str] = {}
-        self._leaving: set[str] = set()
+        self._announced_ends: dict[str, int] = {}  # latest start that did, by name
         self._latest_starts: dict[str, int] = {}
 
     def __iter__(self) -> t.Iterator[Registration]:
@@ -86,8 +86,7 @@
         A store that was restored from an older copy may list an earlier start, while
         the later one goes on.
         """
-        born = max(upstream.born, self._latest_starts.get(upstream.name, 0))
-        return f"{upstream.name}@{born}"
+        return f"{upstream.name}@{self._find_latest_start(upstream)}"
 
     def find_by_address(self, address: str) -> Registration | None:
         """Return the upstream at an address."""
@@ -101,7 +100,6 @@
             return False
         if known is not None and known.born != registration.born:
             self._health.pop(name, None)
-            self._leaving.discard(name)
         self._note_start(name, registration.born)
         self._registrations[name] = registration
         self._by_address[registration.address] = name
@@ -163,13 +161,21 @@
         return [each for each in ready if not self.is_suspected(each.name, now)]
 
     def note_leaving(self, upstream: Registration) -> bool:
-        """Record that an upstream announced its end; return whether that is news."""
-        known = self._registrations.get(upstream.name)
-        if known is None or known.born != upstream.born:
-            return False
-        if upstream.name in self._leaving:
+        """Record that an upstream announced its end; return whether that is news.
+
+        It holds until the upstream starts anew, also while its entry is away or a
+        restored store lists an earlier start.
+        """
+        name = upstream.name
+        latest = self._find_latest_start(upstream)
+        is_listed = self._registrations.get(name, upstream).born == upstream.born
+        if upstream.born < latest and not is_listed:
+            return False  # a late answer of an earlier start
+        if self._announced_ends.get(name) == latest:
             return False
-        self._leaving.add(upstream.name)
+        self._announced_ends.pop(name, None)
+        self._announced_ends[name] = latest
+        _drop_oldest(self._announced_ends)
         return True
 
     def is_leaving(self, name: str) -> bool:
@@ -177,16 +183,18 @@
         registration = self._registrations.get(name)
         if registration is None or not registration.ready:
             return True
-        return name in self._leaving
+        return self._has_announced_end(registration)
 
     def list_leaving(self) -> list[str]:
         """Return the upstreams that have announced their end in their answers."""
-        return sorted(self._leaving)
+        found = [self._registrations.get(name) for name in self._announced_ends]
+        known = [each for each in found if each is not None]
+        return sorted(each.name for each in known if self._has_announced_end(each))
 
     def list_announced_ends(self) -> list[str]:
         """Return the incarnations of those upstreams."""
-        found = [self._registrations.get(name) for name in self.list_leaving()]
-        return [each.incarnation for each in found if each is not None]
+        found = [self._registrations[name] for name in self.list_leaving()]
+        return [self.get_latest_incarnation(each) for each in found]
 
     def is_suspected(self, name: str, now: float) -> bool:
         """Tell whether an upstream is avoided after failures."""
@@ -243,15 +251,25 @@
     def _note_start(self, name: str, born: int) -> None:
         latest = max(born, self._latest_starts.pop(name, 0))
         self._latest_starts[name] = latest
-        while len(self._latest_starts) > MAX_KNOWN_STARTS:
-            del self._latest_starts[next(iter(self._latest_starts))]
+        _drop_oldest(self._latest_starts)
+
+    def _find_latest_start(self, upstream: Registration) -> int:
+        return max(upstream.born, self._latest_starts.get(upstream.name, 0))
+
+    def _has_announced_end(self, upstream: Registration) -> bool:
+        latest = self._find_latest_start(upstream)
+        return self._announced_ends.get(upstream.name) == latest
 
     def _drop(self, name: str) -> None:
         registration = self._registrations.pop(name, None)
         self._expires_at.pop(name, None)
         self._health.pop(name, None)
-        self._leaving.discard(name)
         if registration is None:
             return
         if self._by_address.get(registration.address) == name:
             del self._by_address[registration.address]
+
+
+def _drop_oldest(starts: dict[str, int]) -> None:
+    while len(starts) > MAX_KNOWN_STARTS:
+        del starts[next(iter(starts))]
--- a/tests/forwarding/test_upstream_table.py
+++ b/tests/forwarding/test_upstream_table.py
@@ -1,6 +1,10 @@
 import pytest
 
-from tarragonrudder.core.forwarding.upstream_table import MAX_SUSPICION, UpstreamTable
+from tarragonrudder.core.forwarding.upstream_table import (
+    MAX_KNOWN_STARTS,
+    MAX_SUSPICION,
+    UpstreamTable,
+)
 from tests.forwarding.fleet import make_engine, make_plain
 
 
@@ -88,6 +92,52 @@
     assert found is not None and found.name == "other"
 
 
+@pytest.mark.parametrize("is_noted_while_away", [False, True])
+@pytest.mark.parametrize("how", ["vanished", "restored", "restored and vanished"])
+def test_announced_end_is_kept_while_the_entry_is_away(how, is_noted_while_away):
+    # An upstream that had announced its end got requests once its entry came back.
+    table = UpstreamTable()
+    former, latest = make_plain("p1", born=1), make_plain("p1", born=2)
+    table.register(latest)
+    if not is_noted_while_away:
+        assert table.note_leaving(latest)
+    if how != "vanished":
+        table.register(former)  # as an older copy of the store lists it
+    if how != "restored":
+        table.deregister("p1", 0.0)
+    if is_noted_while_away:
+        assert table.note_leaving(latest)
+    assert table.is_leaving("p1") and not table.list_ready("plain")
+    table.register(latest)
+    assert table.is_leaving("p1") and not table.list_ready("plain")
+    assert table.list_announced_ends() == ["p1@2"]
+    table.register(make_plain("p1", born=3))
+    assert table.list_ready("plain") and not table.list_announced_ends()
+
+
+def test_announced_end_of_a_start_that_is_listed_as_an_earlier_one():
+    table = UpstreamTable()
+    former, latest = make_plain("p1", born=1), make_plain("p1", born=2)
+    table.register(latest)
+    table.register(former)
+    assert table.note_leaving(former)  # only the latest start can have answered
+    assert table.list_announced_ends() == ["p1@2"]
+    table.register(latest)
+    assert table.is_leaving("p1")
+
+
+def test_announced_ends_are_bounded():
+    table = UpstreamTable()
+    for number in range(MAX_KNOWN_STARTS + 1):
+        upstream = make_plain(f"p{number}", born=1)
+        table.register(upstream)
+        table.note_leaving(upstream)
+        table.deregister(upstream.name, 0.0)
+    table.register(make_plain("p0", born=1))
+    table.register(make_plain("p1", born=1))
+    assert table.list_announced_ends() == ["p1@1"]
+
+
 def test_announced_end_holds_for_one_start_of_an_upstream():
     table = UpstreamTable()
     first, second = make_plain("p1", born=1), make_plain("p1", born=2)
--- a/tests/site/test_upstream_leaving.py
+++ b/tests/site/test_upstream_leaving.py
@@ -120,3 +120,46 @@
         node = await site.add_node()
         node.daemon.state.merge_announced_ends([told])
         assert (await node.ask("/look/1")).status == 200
+
+
+async def test_told_end_counts_for_the_latest_start_though_an_earlier_one_is_listed():
+    async with open_site() as site:
+        (upstream,) = make_upstreams("/look", "u-1")
+        upstream.born = 2
+        await site.add(upstream)
+        node = await site.add_node()
+        assert (await node.ask("/look/1")).status == 200
+        site.store.put("servers/u-1", upstream.describe(born=1))
+        table = node.daemon.state.upstream_table
+        with trio.fail_after(2.0):
+            while table.find("u-1").born != 1:
+                await trio.sleep(0.05)
+        node.daemon.state.merge_announced_ends(["u-1@1"])
+        assert not table.is_leaving("u-1")
+        node.daemon.state.merge_announced_ends(["u-1@2"])
+        assert (await node.ask("/look/1")).status == 503
+
+
+@pytest.mark.parametrize("target", KINDS)
+async def test_announced_end_holds_after_the_entry_was_away(target):
+    async with open_site() as site:
+        leaving, other = make_upstreams(target, "u-1", "u-2")
+        leaving.leaving = b"1"
+        await site.add(leaving, other)
+        node = await site.add_node()
+        with trio.fail_after(5.0):
+            while not leaving.announced_ends:
+                await node.ask(target)
+        table = node.daemon.state.upstream_table
+        site.store.remove("servers/u-1")
+        with trio.fail_after(5.0):
+            while table.find("u-1") is not None:
+                await trio.sleep(0.05)
+        site.store.put("servers/u-1", leaving.describe())
+        with trio.fail_after(5.0):
+            while table.find("u-1") is None:
+                await trio.sleep(0.05)
+        arrivals = len(leaving.arrivals)
+        for _ in range(10):
+            assert (await node.ask(target)).status == 200
+        assert len(leaving.arrivals) == arrivals
