Keep an upstream's limit while its entry is away

A limit was dropped at the next look after its upstream's entry had vanished, and an entry that came back as the same start had none: each node sent what it had until an answer named the limit again.

Change: it stays until no answer has come for `RENEWAL_PERIOD`, as that of an upstream that is listed; at most 256 are kept of upstreams without an entry, those heard of last.

Ruled out: limits told by peers. They are renewed by answers only, so none is kept alive by nodes that repeat each other (`merge` keeps the time of the observation).

--- a/src/tarragonrudder/core/forwarding/upstream_limits.py
+++ b/src/tarragonrudder/core/forwarding/upstream_limits.py
@@ -29,6 +29,7 @@
 # may be sent doubles with each step.
 RELEASE_PERIOD = 4.0
 RELEASE_STEP = 0.5
+MAX_VANISHED = 256  # limits that are kept of upstreams without an entry
 MAX_REPORTS = 512  # sent to a peer; bounds the message
 MAX_CACHED_HOLDERS = 4096
 # Relative change below which a new value is no news.
@@ -190,7 +191,10 @@
         return (1.0 - entry.tokens) / share if share > 0.0 else math.inf
 
     def expire(self, known: t.Container[str], now: float) -> list[str]:
-        """Drop the limits of upstreams that are gone, or that no longer hold.
+        """Drop limits that no longer hold.
+
+        An upstream whose entry vanished may come back as the same start; its limit
+        stays, as one of the latest `MAX_VANISHED`.
 
         Parameters
         ----------
@@ -203,6 +207,7 @@
             Upstreams whose limit ended, as no answer has come for `RENEWAL_PERIOD`.
         """
         ended = []
+        vanished = []
         for upstream, entry in list(self._entries.items()):
             released_at = entry.released_at
             if released_at is None:
@@ -213,7 +218,10 @@
                 del self._entries[upstream]
                 continue
             if upstream not in known:
-                del self._entries[upstream]
+                vanished.append(upstream)
+        vanished.sort(key=lambda upstream: self._entries[upstream].observed_at)
+        for upstream in vanished[:-MAX_VANISHED]:
+            del self._entries[upstream]
         return ended
 
     def snapshot(self, now: float) -> dict[str, LimitReport]:
