--- a/tests/site/upstream.py
+++ b/tests/site/upstream.py
@@ -116,6 +116,8 @@
         Whether its connection had carried bytes that belong to no answer.
     begun : float
         When it had been read.
+    source : str
+        IP address of its sender.
     sent : int
         Bytes of a raw answer that were sent.
     lasted : float
@@ -131,6 +133,7 @@
     behavior: Behavior = field(default_factory=Behavior)
     spoiled: bool = False
     begun: float = 0.0
+    source: str = ""
     sent: int = 0
     lasted: float = 0.0
 
@@ -275,6 +278,7 @@
             await self._control(stream, connection, arrival)
             return True
         arrival.begun = trio.current_time()
+        arrival.source = self._get_source(stream)
         self.arrivals.append(arrival)
         return await self._answer(stream, connection, arrival)
 
@@ -298,6 +302,12 @@
             else:
                 return None
 
+    def _get_source(self, stream: trio.SocketStream) -> str:
+        try:
+            return stream.socket.getpeername()[0]
+        except OSError:  # its sender has closed the connection
+            return ""
+
     async def _control(
         self, stream: trio.SocketStream, connection: h11.Connection, arrival: Arrival
     ) -> None:
