Count the retries of all nodes in the soak

It now counts each service's arrivals beyond the first of each request in every window, against the ratio of the requests in that window, the one before or the one half a window before, and the slack, as the users' page words it.

The check guards what is promised; 8 cases of test_judge.py show that it finds what is over the budget, and nothing else.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,10 +1,12 @@
 """What callers and upstreams saw, against what is promised."""
 
+import bisect
 import collections
 import typing as t
 from dataclasses import dataclass
 
 from tarragonrudder.platform.backpressure import decode_number
+from tarragonrudder.platform.node_settings import BoundsSettings
 from tests.site.upstream import Arrival, UpstreamStandIn
 from tests.soak.callers import DEADLINE, UNKNOWN_KEY, Call
 from tests.soak.world import NamedLimit, NodeProcess, Stop
@@ -26,6 +28,8 @@
 DRAIN_BOUND = 2.0  # seconds, "drain-ms"
 LIMIT_WINDOW = 4.0  # seconds in which the requests of a limited upstream are counted
 STABLE_WINDOW = 3.0  # seconds, "stable-window-ms"
+BOUNDS = BoundsSettings()  # as the nodes have them
+ENGINE_TARGET = "/draft/"  # of the routes to engines
 STOP_MARGIN = 3.0  # seconds after a planned stop in which requests are still owed
 # Statuses by which a node promises that a request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -208,6 +212,52 @@
         yield _QuietTime("DRAIN", request, at, at + DRAIN_BOUND, until, 0)
 
 
+def judge_retries(
+    calls: t.Iterable[Call], upstreams: t.Iterable[UpstreamStandIn]
+) -> list[str]:
+    """Return which services got more retries from all nodes than the budget allows."""
+    calls = list(calls)
+    findings = []
+    for service in ("engines", "plain"):
+        asked = sorted(
+            call.begun
+            for call in calls
+            if call.target.startswith(ENGINE_TARGET) == (service == "engines")
+        )
+        sent: set[bytes] = set()
+        times = []
+        arrivals = [
+            arrival
+            for upstream in upstreams
+            if upstream.service == service
+            for arrival in upstream.arrivals
+        ]
+        for arrival in sorted(arrivals, key=lambda each: each.begun):
+            request = arrival.headers[b"attempt-id"]
+            if request in sent:
+                times.append(arrival.begun)
+            sent.add(request)
+        for begun in times:
+            retries = _count(times, begun, BOUNDS.budget_window_s)
+            starts = (begun - BOUNDS.budget_window_s * part for part in (0.0, 0.5, 1.0))
+            requests = max(
+                _count(asked, start, BOUNDS.budget_window_s) for start in starts
+            )
+            allowed = BOUNDS.budget_ratio * requests + BOUNDS.budget_slack
+            if retries > allowed:
+                findings.append(
+                    f"BUDGET: {retries} retries at {service} in "
+                    f"{BOUNDS.budget_window_s:g} s, {allowed:.0f} are allowed"
+                )
+                break
+    return findings
+
+
+def _count(times: t.Sequence[float], begun: float, length: float) -> int:
+    first = bisect.bisect_left(times, begun)
+    return bisect.bisect_left(times, begun + length) - first
+
+
 def judge_crashing_part(
     part: str,
     upstreams: t.Iterable[UpstreamStandIn],
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,7 +7,12 @@
 import trio
 
 from tests.soak.callers import Callers
-from tests.soak.judge import judge, judge_limits, judge_quiet_times
+from tests.soak.judge import (
+    judge,
+    judge_limits,
+    judge_quiet_times,
+    judge_retries,
+)
 from tests.soak.troubles import make_trouble
 from tests.soak.world import World
 
@@ -60,6 +65,7 @@
                 *recovered,
                 *find_exits(world),
                 *judge_limits(world.limits),
+                *judge_retries(callers.calls, world.upstreams),
                 *judge_quiet_times(
                     callers.calls, world.upstreams, troubled, world.nodes
                 ),
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -11,9 +11,11 @@
 from tests.site.upstream import Arrival, Behavior, UpstreamStandIn
 from tests.soak.callers import Call
 from tests.soak.judge import (
+    BOUNDS,
     judge,
     judge_crashing_part,
     judge_quiet_times,
+    judge_retries,
 )
 from tests.soak.world import NodeProcess, Stop
 from tests.standins.model import expect_answer
@@ -307,6 +309,37 @@
     assert [finding.partition(":")[0] for finding in findings] == kinds
 
 
+SLACK = int(BOUNDS.budget_slack)
+WINDOW = BOUNDS.budget_window_s
+
+
+@pytest.mark.parametrize(
+    ("asked", "retries", "service", "kinds"),
+    [
+        ((), (100.0,) * SLACK, "plain", []),
+        ((), (100.0,) * (SLACK + 1), "plain", ["BUDGET"]),
+        ((), (100.0,) * (SLACK + 1), "engines", ["BUDGET"]),
+        ((), (100.0,) * SLACK + (100.1 + WINDOW,), "plain", []),
+        ((100.0,) * 5, (100.0,) * (SLACK + 1), "plain", []),
+        ((100.0,) * 5, (100.0,) * (SLACK + 2), "plain", ["BUDGET"]),
+        ((100.0 - WINDOW,) * 5, (100.0,) * (SLACK + 1), "plain", []),
+        ((99.9 - WINDOW,) * 5, (100.0,) * (SLACK + 1), "plain", ["BUDGET"]),
+    ],
+)
+def test_retries_of_all_nodes(
+    asked: tuple[float, ...], retries: tuple[float, ...], service: str, kinds: list[str]
+) -> None:
+    target = "/draft/1" if service == "engines" else "/look/1"
+    upstreams = [UpstreamStandIn(f"u-{n}", service=service) for n in range(2)]
+    for number, begun in enumerate(retries):
+        headers = {b"attempt-id": b"call-%d" % number}
+        for upstream, at in zip(upstreams, (begun - 0.001, begun), strict=True):
+            upstream.arrivals.append(Arrival("POST", target, headers, b"", begun=at))
+    calls = [Call("call", target, "key-1", b"", "n-0", begun) for begun in asked]
+    findings = judge_retries(calls, upstreams)
+    assert [finding.partition(":")[0] for finding in findings] == kinds
+
+
 def judge_part(
     late: tuple[float, ...] = (),
     crashes: tuple[float, ...] = (103.0, 104.0, 105.0, 106.0, 107.0),
