Bound the head of a watch and the refusals of engines

Informational answers without end kept a watch of the store from ever being open, and held a task; a refusal that trickled held its attempt. A body with a content encoding was unpacked in memory: 16 MiB from 16 KiB in the streams of engines and watches.

Change: the head of a watch is due within two timeouts of a call, as the store's gateway sends it at once; of a refusal what has come within a second counts; encodings that weren't asked for end streams of engines and watches, as they do elsewhere.

Ruled out: the streams of attempts need no bound of their own in time; the node's timers cancel them (`1xx`, `trickled`, `trickled-1xx` end by that alone).

--- a/src/tarragonrudder/edges/engine.py
+++ b/src/tarragonrudder/edges/engine.py
@@ -3,6 +3,7 @@
 import typing as t
 
 import httpx
+import trio
 
 from tarragonrudder.core.domain.action import CancelAttempt, StartAttempt
 from tarragonrudder.core.domain.event import AttemptFailed, Event
@@ -12,10 +13,15 @@
     decode_refusal,
     encode_attempt,
 )
-from tarragonrudder.edges.whole_response import fetch
+from tarragonrudder.edges.whole_response import (
+    PLAIN_HEADERS,
+    fetch,
+    require_plain_encoding,
+)
 
 CONNECT_TIMEOUT = 0.5  # seconds
 CANCEL_TIMEOUT = 1.0  # seconds
+REFUSAL_TIMEOUT = 1.0  # seconds for the body of a refusal
 MAX_IDLE_CONNECTIONS = 256
 MAX_REFUSAL_BYTES = 64 * 1024
 MAX_SIDE_BYTES = 64 * 1024  # of an answer to a cancellation or a probe
@@ -45,8 +51,9 @@
                 "POST",
                 head.address + "/v1/generate",
                 content=encode_attempt(action),
-                headers={"content-type": "application/json"},
+                headers={"content-type": "application/json", **PLAIN_HEADERS},
             ) as response:
+                require_plain_encoding(response)
                 if response.status_code != 200:
                     await self._post_refusal(action, response)
                     return
@@ -94,10 +101,11 @@
         self, action: StartAttempt, response: httpx.Response
     ) -> None:
         content = b""
-        async for data in response.aiter_bytes():
-            content += data
-            if len(content) > MAX_REFUSAL_BYTES:
-                break
+        with trio.move_on_after(REFUSAL_TIMEOUT):
+            async for data in response.aiter_bytes():
+                content += data
+                if len(content) > MAX_REFUSAL_BYTES:
+                    break
         failure = decode_refusal(response.status_code, content)
         upstream = action.chain.hops[0].upstream
         self._post(AttemptFailed(action.request, action.attempt, failure, upstream))
--- a/src/tarragonrudder/edges/platform_client.py
+++ b/src/tarragonrudder/edges/platform_client.py
@@ -1,19 +1,26 @@
 """Client of the platform's key-value service, through the etcd v3 JSON gateway."""
 
 import base64
+import contextlib
 import json
 import typing as t
 from dataclasses import dataclass
 
 import httpx
+import trio
 
 from tarragonrudder.core.domain.action import Guard
-from tarragonrudder.edges.whole_response import PLAIN_ENCODING, fetch, read_lines
+from tarragonrudder.edges.whole_response import (
+    PLAIN_HEADERS,
+    TIMEOUTS_PER_CALL,
+    fetch,
+    read_lines,
+    require_plain_encoding,
+)
 from tarragonrudder.errors import RouterError
 
 # A listing holds a whole configuration, in pieces of up to 1 MB each.
 MAX_ANSWER_BYTES = 64 << 20
-PLAIN_HEADERS = {"accept-encoding": PLAIN_ENCODING}
 WATCH_TIMEOUT = 60.0  # seconds without a change after which a watch is reopened
 
 
@@ -166,13 +173,11 @@
             "range_end": _encode(_end_of_prefix(prefix)),
             "start_revision": str(revision),
         }
-        body = {"create_request": create}
-        timeout = httpx.Timeout(self._timeout, read=WATCH_TIMEOUT)
         try:
-            async with self._client.stream(
-                "POST", "/v3/watch", json=body, timeout=timeout, headers=PLAIN_HEADERS
-            ) as response:
+            response = await self._open_watch({"create_request": create})
+            async with contextlib.aclosing(response):
                 response.raise_for_status()
+                require_plain_encoding(response)
                 async for line in read_lines(response.aiter_bytes(), MAX_ANSWER_BYTES):
                     if not line:
                         continue
@@ -186,6 +191,17 @@
         except _RESPONSE_ERRORS as error:
             raise PlatformError(f"the watch failed: {error}; reopen it") from error
 
+    async def _open_watch(self, body: dict[str, t.Any]) -> httpx.Response:
+        """Return a watch's response once its head is read, which is due at once."""
+        timeout = httpx.Timeout(self._timeout, read=WATCH_TIMEOUT)
+        request = self._client.build_request(
+            "POST", "/v3/watch", json=body, timeout=timeout, headers=PLAIN_HEADERS
+        )
+        period = TIMEOUTS_PER_CALL * self._timeout
+        with trio.move_on_after(period):
+            return await self._client.send(request, stream=True)
+        raise PlatformError(f"no watch was opened in {period} s; reopen it")
+
     async def _range(self, body: dict[str, t.Any]) -> Listing:
         reply = await self._call("/v3/kv/range", body)
         try:
--- a/src/tarragonrudder/edges/whole_response.py
+++ b/src/tarragonrudder/edges/whole_response.py
@@ -9,6 +9,13 @@
 TIMEOUTS_PER_CALL = 2
 # Sizes are bounded as received, so a body must not unfold afterwards.
 PLAIN_ENCODING = "identity"
+PLAIN_HEADERS = {"accept-encoding": PLAIN_ENCODING}
+
+
+def require_plain_encoding(response: httpx.Response) -> None:
+    """Raise ``httpx.DecodingError`` if a body has an encoding."""
+    if response.headers.get("content-encoding", PLAIN_ENCODING) != PLAIN_ENCODING:
+        raise httpx.DecodingError("a body in an encoding")
 
 
 async def read_body(parts: t.AsyncIterator[bytes], max_bytes: int) -> bytes:
@@ -82,13 +89,10 @@
         encoding.
     """
     options["timeout"] = timeouts if timeouts is not None else timeout
-    headers = {"accept-encoding": PLAIN_ENCODING, **(headers or {})}
+    headers = {**PLAIN_HEADERS, **(headers or {})}
     with trio.move_on_after(TIMEOUTS_PER_CALL * timeout):
         async with client.stream(method, url, headers=headers, **options) as response:
-            if response.headers.get("content-encoding", PLAIN_ENCODING) != (
-                PLAIN_ENCODING
-            ):
-                raise httpx.DecodingError("a body in an encoding")
+            require_plain_encoding(response)
             content = await read_body(response.aiter_bytes(), max_bytes)
             return httpx.Response(
                 response.status_code,
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -48,6 +48,7 @@
 def make_sync(
     client: FakePlatformClient,
     answer: t.Callable[[httpx.Request], httpx.Response] | None = None,
+    timeout: float = 2.0,
 ) -> tuple[PlatformSync, EventRecorder]:
     node = NodeSettings(
         name="node-0",
@@ -57,7 +58,9 @@
         peer_address="http://127.0.0.1:2",
         peer_secret_file=pathlib.Path("/none"),
     )
-    platform = PlatformSettings(address="http://platform", vms="http://platform/vms")
+    platform = PlatformSettings(
+        address="http://platform", vms="http://platform/vms", timeout=timeout
+    )
     recorder = EventRecorder()
     sync = PlatformSync(
         Settings(node=node, platform=platform),
