Keep accounts' rate limits while leases lapse

A node's part of an account's rate, and who owns the account, followed the store's list of nodes. Where all leases lapsed in an outage, each node found itself alone on the list, owned all accounts, and admitted the whole rate.

Change: a node that leaves the list still counts for six seconds (`KnownNodes`, moved to the domain package, as admission uses it now). A node registers anew within about five.

Ruled out: the new owner's bucket, which begins empty.

--- a/src/tarragonrudder/core/admission/rate_limiter.py
+++ b/src/tarragonrudder/core/admission/rate_limiter.py
@@ -16,6 +16,7 @@
 from tarragonrudder.core.domain.action import Action, SendPeerMessage
 from tarragonrudder.core.domain.event import NodeAddress
 from tarragonrudder.core.domain.fleet import ClientAccount
+from tarragonrudder.core.domain.known_nodes import KnownNodes
 from tarragonrudder.core.domain.message import LimitDemand, LimitGrant, LimitProbe
 from tarragonrudder.core.domain.rendezvous import ShardOwners, rank_nodes
 
@@ -37,6 +38,9 @@
 SWEEP_PERIOD = 10.0  # seconds between removals of idle state
 SURPLUS_RATIO = 0.25  # unneeded fraction of a grant above which it is returned
 MAX_UNDELIVERED = 8  # messages kept for resending to an unreachable owner
+# Seconds for which a node counts after it left the list. Where leases lapse in an
+# outage of the store, nodes register anew within less.
+DEPARTURE_PERIOD = 6.0
 CONTACT_PERIOD = 2.5  # seconds for which a message or its loss shows reachability
 CONTACT_COUNT = 6  # recently reachable nodes, at which probing stops
 LOSS_GRACE_PERIOD = 1.0  # seconds after a message in which losses are ignored
@@ -94,6 +98,8 @@
         self._owners = ShardOwners(SHARD_COUNT)
         self._owners.set_nodes([name])
         self._nodes = frozenset([name])
+        self._listed: frozenset[str] = frozenset()
+        self._known = KnownNodes(name, DEPARTURE_PERIOD)
         self._period = REPORT_PERIOD
         self._accounts: t.Mapping[str, ClientAccount] = {}
         self._states: dict[str, _AccountState] = {}
@@ -124,7 +130,12 @@
 
     def set_nodes(self, nodes: tuple[NodeAddress, ...], now: float = 0.0) -> None:
         """Replace the list of live nodes."""
-        names = {node.name for node in nodes} | {self._name}
+        self._known.note_listed(self._listed, now)
+        self._listed = frozenset(node.name for node in nodes)
+        self._update_nodes(now)
+
+    def _update_nodes(self, now: float) -> None:
+        names = self._listed | set(self._known.list_names(now))
         if names != self._nodes:
             self._nodes = frozenset(names)
             # With few owners, messages are fewer and larger, but each owner
@@ -210,6 +221,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """Run the periodic tasks; called once a second."""
+        self._update_nodes(now)
         if now - self._reported_at >= self._period - TICK_PERIOD / 2:
             self._reported_at = now
             self._report(now)
--- a/src/tarragonrudder/core/forwarding/state.py
+++ b/src/tarragonrudder/core/forwarding/state.py
@@ -12,6 +12,7 @@
     Rejected,
     Trait,
 )
+from tarragonrudder.core.domain.known_nodes import KnownNodes
 from tarragonrudder.core.domain.route import Account, Route, RouteTable
 from tarragonrudder.core.forwarding.account_shares import AccountShares
 from tarragonrudder.core.forwarding.answer_lengths import (
@@ -24,7 +25,6 @@
     compute_reserve,
 )
 from tarragonrudder.core.forwarding.crash_tracker import CrashReport, CrashTracker
-from tarragonrudder.core.forwarding.known_nodes import KnownNodes
 from tarragonrudder.core.forwarding.path import (
     Path,
     PathFinder,
--- a/tests/forwarding/test_counts.py
+++ b/tests/forwarding/test_counts.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from tarragonrudder.core.domain.known_nodes import MAX_NODES, KnownNodes
 from tarragonrudder.core.forwarding.event_gaps import EventGaps
-from tarragonrudder.core.forwarding.known_nodes import MAX_NODES, KnownNodes
 from tarragonrudder.core.forwarding.usage_tracker import (
     PEER_PERIOD,
     Usage,
--- a/tests/rate_limiter_fleet.py
+++ b/tests/rate_limiter_fleet.py
@@ -38,6 +38,7 @@
         self.partitions: dict[str, int] = {}
         self.cut_at = float("inf")
         self.platform_cut: set[str] = set()
+        self.registered_at: dict[str, float] = {}
         self.messages = 0
         self.rate_limiters: dict[str, RateLimiter] = {}
         for name in self.names:
@@ -71,6 +72,15 @@
 
         self.at(when, begin)
 
+    def lapse_leases(self, when: float, period: float) -> None:
+        """Drop all nodes from the list; they register anew within a period."""
+
+        def begin(now: float) -> None:
+            for name in self.names:
+                self.registered_at[name] = now + self.random.uniform(0.0, period)
+
+        self.at(when, begin)
+
     def run(self, arrivals: t.Iterable[tuple[float, str]], end: float) -> None:
         """Simulate arrivals, as pairs of time and node, until `end`."""
         for name in self.names:
@@ -119,6 +129,8 @@
                 continue
             if name in self.platform_cut and now - self.cut_at > LEASE_TTL:
                 continue
+            if now < self.registered_at.get(name, now):
+                continue
             yield NodeAddress(name, "", "")
 
     def _send(self, source: str, actions: t.Sequence[t.Any], now: float) -> None:
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -19,6 +19,7 @@
 END = 50.0  # seconds
 STEADY_FROM = 10.0  # seconds
 FAULT_AT = 20.0  # seconds
+LAPSE_PERIOD = 4.0  # seconds until all nodes are listed again
 TOLERANCE = 0.05
 PATTERNS = ("even", "one", "half", "moving")
 
@@ -55,6 +56,8 @@
             bench.cut(FAULT_AT, others[:3], platform_cut=False)
         case "cut off with the platform":
             bench.cut(FAULT_AT, [owner, *others[:2]], platform_cut=True)
+        case "leases lapse":
+            bench.lapse_leases(FAULT_AT, LAPSE_PERIOD)
     bench.run(arrivals, 60.0)
     for start in range(int(FAULT_AT), 55):
         if bench.count_admitted(start, start + 5) > 2.0 * 5 * rate:
@@ -93,6 +96,7 @@
         "owner cut off",
         "minority cut off",
         "cut off with the platform",
+        "leases lapse",
     ],
 )
 def test_fault(kind: str, pattern: str, seed: int) -> None:
