--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -248,6 +248,28 @@
     assert judge_cut(**{"whole": True, "status": 502, **changes}) == []
 
 
+REPEAT = Behavior(repeat=b"HTTP/1.1 421 Earlier\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("target", "behaviors", "ran", "kinds"),
+    [
+        ("/draft/1", (Behavior(),), True, ["REFUSED"]),
+        ("/draft/1", (Behavior(),), False, []),
+        ("/draft/1", (REPEAT,), True, []),
+        ("/draft/1", (REPEAT, REPEAT), True, []),
+        ("/draft/1", (REPEAT, Behavior()), True, ["REFUSED"]),
+        ("/look/1", (REPEAT,), True, []),
+        ("/record/1", (REPEAT,), True, ["REFUSED"]),
+    ],
+)
+def test_refusal_of_a_request_that_ran(
+    target: str, behaviors: tuple[Behavior, ...], ran: bool, kinds: list[str]
+) -> None:
+    findings = judge_cut(target, behaviors, whole=True, status=429, ran=ran)
+    assert [finding.partition(":")[0] for finding in findings] == kinds
+
+
 def judge_rest(
     late: tuple[float, ...] = (101.0, 101.1, 101.2),
     call_ended: float = 100.5,
