Find the node that ran a request by the logs, not by addresses

Trace: after e-2 had asked n-0 for a rest, the log of n-0 has no request to it for 2.05 s; those of the others have five, four of n-1 and one of n-2. n-2's log names two addresses of e-2: a node that learns an entry from another one uses that one's link, and its requests then bear that one's address.

Change: links forward as before; who ran a request for another node is read from the nodes' own `run_for_peer` lines, with their time. Where such a line was left out, the caller's node counts, as it did before.

The cases of test_judge.py are kept, with relays in place of addresses, and one is added: a request that is relayed only after it arrived counts against the caller's node.

Remains: a node that learns an entry from another one uses the other's link, so that a cut of one node may concern others.

--- a/tests/site/upstream.py
+++ b/tests/site/upstream.py
@@ -116,8 +116,6 @@
         Whether its connection had carried bytes that belong to no answer.
     begun : float
         When it had been read.
-    source : str
-        IP address of its sender.
     sent : int
         Bytes of a raw answer that were sent.
     lasted : float
@@ -133,7 +131,6 @@
     behavior: Behavior = field(default_factory=Behavior)
     spoiled: bool = False
     begun: float = 0.0
-    source: str = ""
     sent: int = 0
     lasted: float = 0.0
 
@@ -278,7 +275,6 @@
             await self._control(stream, connection, arrival)
             return True
         arrival.begun = trio.current_time()
-        arrival.source = self._get_source(stream)
         self.arrivals.append(arrival)
         return await self._answer(stream, connection, arrival)
 
@@ -302,12 +298,6 @@
             else:
                 return None
 
-    def _get_source(self, stream: trio.SocketStream) -> str:
-        try:
-            return stream.socket.getpeername()[0]
-        except OSError:  # its sender has closed the connection
-            return ""
-
     async def _control(
         self, stream: trio.SocketStream, connection: h11.Connection, arrival: Arrival
     ) -> None:
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -162,7 +162,7 @@
                     world.upstreams,
                     {name: link.troubled for name, link in world.links.items()},
                     world.nodes,
-                    *((), float("inf"), ()),
+                    *((), float("inf"), (), world.find_relays()),
                 ),
                 *judge_crashing_part(
                     play.part, world.upstreams, play.crashes, play.sound, begun
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -31,6 +31,8 @@
 BOUNDS = BoundsSettings()  # as the nodes have them
 ENGINE_TARGET = "/draft/"  # of the routes to engines
 STOP_MARGIN = 3.0  # seconds after a planned stop in which requests are still owed
+Relays: t.TypeAlias = t.Mapping[str, t.Sequence[tuple[float, str]]]
+
 # Statuses by which a node promises that a request has not run and never will.
 PROMISES = (408, 421, 429, 503)
 FAILURES = (502, 504)  # statuses by which a node gives up a request
@@ -44,6 +46,7 @@
     stops: t.Iterable[Stop],
     revoked_at: float,
     disturbed: t.Iterable[float],
+    relays: Relays,
 ) -> list[str]:
     """Return what was broken, one line each.
 
@@ -51,6 +54,8 @@
     ----------
     troubled_links : mapping of str to sequence of tuple of float
         Spans in which the way to an upstream was troubled, by its name.
+    relays : mapping of str to sequence of tuple of float and str
+        When a node ran a request for another one, and its name, by the request's.
     """
     arrivals: dict[str, list[Arrival]] = collections.defaultdict(list)
     troubled = collections.defaultdict(list)
@@ -60,7 +65,6 @@
             arrivals[name].append(arrival)
             troubled[name] += troubled_links[upstream.name]
     calls, nodes = list(calls), list(nodes)
-    senders = _Senders(calls, nodes)
     own_spans = {node.name: node.disturbed for node in nodes}
     spans = {name: [*own, *disturbed] for name, own in own_spans.items()}
     stopped = collections.defaultdict(list)
@@ -69,7 +73,7 @@
     findings = []
     for call in calls:
         # Another node may have run it for one that was cut off.
-        concerned = {call.node, *map(senders.find, arrivals[call.name])}
+        concerned = {call.node, *(name for _, name in relays.get(call.name, ()))}
         sender_spans = [span for name in concerned for span in own_spans[name]]
         found = [
             *_judge_runs(call, arrivals[call.name]),
@@ -124,10 +128,11 @@
     upstreams: t.Iterable[UpstreamStandIn],
     troubled_links: t.Mapping[str, t.Sequence[tuple[float, float]]],
     nodes: t.Iterable[NodeProcess],
+    relays: Relays,
 ) -> list[str]:
     """Return which upstreams got requests that they had asked a node not to send."""
-    calls, nodes = list(calls), list(nodes)
-    senders = _Senders(calls, nodes)
+    calls = list(calls)
+    senders = _Senders(calls, relays)
     by_name = {call.name.encode(): call for call in calls}
     disturbed = {node.name: node.disturbed for node in nodes}
     findings = []
@@ -185,14 +190,18 @@
 class _Senders:
     """Finds which node sent a request to an upstream."""
 
-    def __init__(self, calls: t.Iterable[Call], nodes: t.Iterable[NodeProcess]) -> None:
-        self._by_address = {node.ip: node.name for node in nodes if node.ip}
-        self._by_request = {call.name.encode(): call.node for call in calls}
+    def __init__(self, calls: t.Iterable[Call], relays: Relays) -> None:
+        self._nodes = {call.name: call.node for call in calls}
+        self._relays = relays
 
     def find(self, arrival: Arrival) -> str:
-        """Return its name; by default, of the node that its caller used."""
-        default = self._by_request.get(arrival.headers[b"attempt-id"], "")
-        return self._by_address.get(arrival.source, default)
+        """Return the latest node that ran it for another one, or its caller's."""
+        request = arrival.headers[b"attempt-id"].decode()
+        found = self._nodes.get(request, "")
+        for at, name in self._relays.get(request, ()):
+            if at <= arrival.begun:
+                found = name
+        return found
 
 
 def _was_answered_before(call: Call, at: float) -> bool:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -36,12 +36,6 @@
 class Link:
     """Forwards connections to one address.
 
-    Parameters
-    ----------
-    source : str or None
-        Address from which it connects; that of whoever connects to it by default, so
-        that a target sees through links in a row who sent a request.
-
     Attributes
     ----------
     delay : float
@@ -50,9 +44,8 @@
         Spans in which it did more than to forward.
     """
 
-    def __init__(self, target: str, source: str | None = None) -> None:
+    def __init__(self, target: str) -> None:
         self._target = target
-        self._source = source
         self._streams: set[trio.SocketStream] = set()
         self.mode = Mode.PASS
         self.delay = 0.0
@@ -124,8 +117,7 @@
             return
         host, _, port = self._target.rpartition(":")
         try:
-            source = self._source or caller.socket.getpeername()[0]
-            target = await trio.open_tcp_stream(host, int(port), local_address=source)
+            target = await trio.open_tcp_stream(host, int(port))
         except OSError:
             await trio.aclose_forcefully(caller)
             return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -60,6 +60,7 @@
                     recovered = await _wait_recovered(world, callers)
                     calling.cancel()
             troubled = {name: link.troubled for name, link in world.links.items()}
+            relays = world.find_relays()
             findings = [
                 *world.findings,
                 *recovered,
@@ -67,7 +68,7 @@
                 *judge_limits(world.limits),
                 *judge_retries(callers.calls, world.upstreams),
                 *judge_quiet_times(
-                    callers.calls, world.upstreams, troubled, world.nodes
+                    callers.calls, world.upstreams, troubled, world.nodes, relays
                 ),
                 *judge(
                     callers.calls,
@@ -77,6 +78,7 @@
                     world.stops,
                     world.revoked_at,
                     world.store_troubled,
+                    relays,
                 ),
             ]
         finally:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,14 +1,18 @@
 """A site whose nodes are processes; store and upstreams stand behind links."""
 
+import contextlib
 import itertools
 import os
 import pathlib
 import signal
 import subprocess
 import sys
+import time
+import typing as t
 from dataclasses import dataclass, field
 
 import httpx
+import orjson
 import trio
 
 from tarragonrudder.platform import protocol
@@ -23,6 +27,7 @@
 GRACE = 8.0  # seconds from a planned stop to the platform's kill
 # Seconds that a process may take to end beside other load, beyond its grace.
 EXIT_MARGIN = 4.0
+LOG_PRECISION = 0.001  # seconds of times in log lines
 SETTINGS = """\
 node = "{name}"
 ip = "{ip}"
@@ -112,6 +117,16 @@
         """Exit code, None while it runs."""
         return self.process.poll() if self.process is not None else None
 
+    def list_relays(self) -> t.Iterator[tuple[str, float]]:
+        """Yield the requests that it ran for others, and when by the wall clock."""
+        for line in self.log.read_bytes().splitlines():
+            if b'"run_for_peer"' not in line:
+                continue
+            # A killed process may have left a part of a line.
+            with contextlib.suppress(ValueError, KeyError):
+                fields = orjson.loads(line)
+                yield fields["request"], fields["time"]
+
     async def is_ready(self) -> bool:
         """Tell whether the balancer would send connections."""
         try:
@@ -235,6 +250,19 @@
         node.root = ROOT
         node.start()
 
+    def find_relays(self) -> dict[str, list[tuple[float, str]]]:
+        """Return when nodes ran requests for others, and their names, by request."""
+        offset = time.time() - trio.current_time() + LOG_PRECISION
+        found = [
+            (request, at - offset, node.name)
+            for node in self.nodes
+            for request, at in node.list_relays()
+        ]
+        relays: dict[str, list[tuple[float, str]]] = {}
+        for request, at, name in sorted(found):
+            relays.setdefault(request, []).append((at, name))
+        return relays
+
     def calm(self) -> None:
         """End all troubles."""
         now = trio.current_time()
@@ -276,7 +304,7 @@
     async def _link(self, node: NodeProcess, name: str) -> None:
         """Give a node a link of its own to an upstream."""
         shared = self.links[name].address
-        link = Link(shared, source=node.ip)
+        link = Link(shared)
         await self._nursery.start(link.run)
         node.links[name] = link
         node.view[shared] = link.address
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -166,7 +166,7 @@
     troubled: tuple[tuple[float, float], ...] = (),
     disturbed: tuple[float, ...] = (),
     stopped: tuple[tuple[float, float], ...] = (),
-    source: str = "127.0.2.10",
+    relayed_at: tuple[float, ...] = (),
     other_disturbed: tuple[float, ...] = (),
 ) -> list[str]:
     """Judge a call that began at second 100 and got no answer, or a part of one."""
@@ -180,13 +180,13 @@
         upstream = UpstreamStandIn(f"u-{number}")
         arrival = Arrival("POST", target, headers, b"body", ran)
         arrival.behavior, arrival.spoiled = behavior, spoiled
-        arrival.source = source
         upstream.arrivals.append(arrival)
         upstreams.append(upstream)
         links[upstream.name] = troubled
     nodes = make_nodes(disturbed, other_disturbed)
     stops = [Stop("n-0", *span) for span in stopped]
-    return judge([call], upstreams, links, nodes, stops, float("inf"), ())
+    relays = {"call-1": [(at, "n-1") for at in relayed_at]}
+    return judge([call], upstreams, links, nodes, stops, float("inf"), (), relays)
 
 
 PAUSED = Behavior(silent_after=0, pause=1.0)
@@ -208,7 +208,7 @@
         {"stopped": ((101.0, 103.0),)},
         {"stopped": ((80.0, 90.0),)},
         {"other_disturbed": (101.0,)},
-        {"source": "127.0.2.11", "other_disturbed": (96.0, 102.0)},
+        {"relayed_at": (100.1,), "other_disturbed": (96.0, 102.0)},
     ],
 )
 def test_cut_answer_of_a_silent_upstream_is_found(changes: dict[str, t.Any]) -> None:
@@ -239,8 +239,8 @@
         {"disturbed": (98.0,)},
         {"disturbed": (101.0,)},
         {"stopped": ((96.0, 103.0),)},
-        {"source": "127.0.2.11", "other_disturbed": (101.0,)},
-        {"source": "127.0.2.11", "disturbed": (101.0,)},
+        {"relayed_at": (100.1,), "other_disturbed": (101.0,)},
+        {"relayed_at": (100.1,), "disturbed": (101.0,)},
     ],
 )
 def test_cut_answer_with_another_cause_is_excused(changes: dict[str, t.Any]) -> None:
@@ -274,19 +274,21 @@
     late: tuple[float, ...] = (101.0, 101.1, 101.2),
     call_ended: float = 100.5,
     whole: bool = True,
-    source: str = "",
-    late_source: str = "",
+    relayed: bool = False,
+    late_relayed: bool = False,
+    relayed_early: float = 0.1,
     troubled: tuple[tuple[float, float], ...] = (),
     disturbed: tuple[float, ...] = (),
     announces_end: bool = False,
 ) -> list[str]:
     """Judge an upstream that asked for 2 s of rest, or announced its end, at 100."""
     upstream = UpstreamStandIn("u-0")
-    calls = []
+    calls, relays = [], {}
     for number, begun in enumerate((99.9, *late)):
         headers = {b"attempt-id": b"call-%d" % number}
         arrival = Arrival("POST", "/look/1", headers, b"", begun=begun)
-        arrival.source = late_source if number else source
+        if late_relayed if number else relayed:
+            relays[f"call-{number}"] = [(begun - relayed_early, "n-1")]
         upstream.arrivals.append(arrival)
         call = Call(f"call-{number}", "/look/1", "key-1", b"", "n-0", begun)
         call.ended, call.answer = call_ended, Answer()
@@ -298,10 +300,9 @@
     else:
         upstream.asked_rests.append((100.0, (b"2",), b"call-0"))
     nodes = make_nodes(disturbed, ())
-    return judge_quiet_times(calls, [upstream], {"u-0": troubled}, nodes)
+    return judge_quiet_times(calls, [upstream], {"u-0": troubled}, nodes, relays)
 
 
-N_0, N_1 = "127.0.2.10", "127.0.2.11"
 LATE = (102.1, 103.0)
 
 
@@ -316,14 +317,18 @@
         ({"troubled": ((98.0, 99.99),)}, ["BUDGET"]),
         ({"troubled": ((98.0, 100.01),)}, []),
         ({"disturbed": (101.0,)}, []),
-        ({"source": N_0, "late_source": N_0}, ["BUDGET"]),
-        ({"source": N_1, "late_source": N_1}, ["BUDGET"]),
-        ({"source": N_1, "late_source": N_0}, []),
-        ({"source": N_1, "late_source": N_1, "disturbed": (101.0,)}, ["BUDGET"]),
+        ({"relayed": True, "late_relayed": True}, ["BUDGET"]),
+        ({"relayed": True}, []),
+        ({"late_relayed": True}, []),
+        ({"late_relayed": True, "relayed_early": -0.1}, ["BUDGET"]),
+        (
+            {"relayed": True, "late_relayed": True, "disturbed": (101.0,)},
+            ["BUDGET"],
+        ),
         ({"announces_end": True, "late": LATE}, ["DRAIN"]),
         ({"announces_end": True, "late": (101.9, 105.1)}, []),
         ({"announces_end": True, "late": LATE, "call_ended": 99.95}, []),
-        ({"announces_end": True, "late": LATE, "source": N_1}, []),
+        ({"announces_end": True, "late": LATE, "relayed": True}, []),
     ],
 )
 def test_quiet_times(changes: dict[str, t.Any], kinds: list[str]) -> None:
