Use an upstream again that started anew with its clock set back

Cause: since an announced end holds until a later start is listed, so that a restored store that lists an earlier one doesn't end it. A start whose clock was set back is listed as an earlier one as well, and got nothing any more for as long as it ran.

Change: an earlier start that stays listed for ten seconds is a new one. A restored store has been written again by then (`HOLD_PERIOD` is 6 s).

Found by reading; shown by the third case of the new test, which failed before. `is_leaving` looks at the announced ends first, as it is asked for each upstream in each search.

--- a/src/tarragonrudder/core/forwarding/upstream_table.py
+++ b/src/tarragonrudder/core/forwarding/upstream_table.py
@@ -8,6 +8,9 @@
 INITIAL_SUSPICION = 1.0  # seconds; about the shortest restart of an upstream
 MAX_SUSPICION = 8.0  # seconds; a recovered upstream must not stay idle for longer
 FAILURE_MEMORY = 10.0  # seconds without a failure after which the count restarts
+# Seconds after which an earlier start that is still listed is a new one, by a clock
+# that was set back, and no longer an entry of a restored store.
+REWRITE_PERIOD = 10.0
 MAX_KNOWN_STARTS = 4096  # names whose latest start and announced end are remembered
 
 
@@ -71,6 +74,7 @@
         self._health: dict[str, Health] = {}
         self._by_address: dict[str, str] = {}
         self._announced_ends: dict[str, int] = {}  # latest start that did, by name
+        self._listed_earlier_since: dict[str, float] = {}
         self._latest_starts: dict[str, int] = {}
 
     def __iter__(self) -> t.Iterator[Registration]:
@@ -136,6 +140,7 @@
 
     def expire(self, now: float) -> list[str]:
         """Drop registrations whose grace period is over; return their names."""
+        self._forget_later_starts(now)
         gone = [name for name, at in self._expires_at.items() if at <= now]
         for name in gone:
             self._drop(name)
@@ -257,8 +262,22 @@
         return max(upstream.born, self._latest_starts.get(upstream.name, 0))
 
     def _has_announced_end(self, upstream: Registration) -> bool:
-        latest = self._find_latest_start(upstream)
-        return self._announced_ends.get(upstream.name) == latest
+        ended = self._announced_ends.get(upstream.name)
+        return ended is not None and ended == self._find_latest_start(upstream)
+
+    def _forget_later_starts(self, now: float) -> None:
+        """Take the listed starts for the latest ones where they stay listed."""
+        earlier = {}
+        for name in self._announced_ends:
+            upstream = self._registrations.get(name)
+            if upstream is None or upstream.born >= self._find_latest_start(upstream):
+                continue
+            earlier[name] = self._listed_earlier_since.get(name, now)
+        for name, since in list(earlier.items()):
+            if now - since >= REWRITE_PERIOD:
+                del earlier[name], self._announced_ends[name]
+                self._latest_starts[name] = self._registrations[name].born
+        self._listed_earlier_since = earlier
 
     def _drop(self, name: str) -> None:
         registration = self._registrations.pop(name, None)
--- a/tests/forwarding/test_upstream_table.py
+++ b/tests/forwarding/test_upstream_table.py
@@ -3,6 +3,7 @@
 from tarragonrudder.core.forwarding.upstream_table import (
     MAX_KNOWN_STARTS,
     MAX_SUSPICION,
+    REWRITE_PERIOD,
     UpstreamTable,
 )
 from tests.forwarding.fleet import make_engine, make_plain
@@ -126,6 +127,40 @@
     assert table.is_leaving("p1")
 
 
+@pytest.mark.parametrize(
+    ("looks", "is_leaving"),
+    [
+        ((), True),
+        ((0.0, REWRITE_PERIOD - 0.1), True),
+        ((0.0, REWRITE_PERIOD), False),
+        ((REWRITE_PERIOD, 2.0 * REWRITE_PERIOD - 0.1), True),
+    ],
+)
+def test_start_by_a_clock_that_was_set_back_is_used_again(looks, is_leaving):
+    table = UpstreamTable()
+    former, latest = make_plain("p1", born=2), make_plain("p1", born=1)
+    table.register(former)
+    table.note_leaving(former)
+    table.register(latest)
+    for now in looks:
+        table.expire(now)
+    assert table.is_leaving("p1") is is_leaving
+    assert table.note_leaving(latest) is not is_leaving
+
+
+def test_announced_end_is_kept_while_an_earlier_start_is_listed_briefly():
+    table = UpstreamTable()
+    former, latest = make_plain("p1", born=1), make_plain("p1", born=2)
+    table.register(latest)
+    table.note_leaving(latest)
+    for now in (0.0, 0.7 * REWRITE_PERIOD, 1.4 * REWRITE_PERIOD):
+        table.register(former)
+        table.expire(now)
+        table.register(latest)
+        table.expire(now + 1.0)
+        assert table.is_leaving("p1")
+
+
 def test_announced_ends_are_bounded():
     table = UpstreamTable()
     for number in range(MAX_KNOWN_STARTS + 1):
