--- a/src/tarragonrudder/core/forwarding/upstream_table.py
+++ b/src/tarragonrudder/core/forwarding/upstream_table.py
@@ -188,6 +188,8 @@
         registration = self._registrations.get(name)
         if registration is None or not registration.ready:
             return True
+        if name not in self._announced_ends:
+            return False
         return self._has_announced_end(registration)
 
     def list_leaving(self) -> list[str]:
@@ -262,8 +264,8 @@
         return max(upstream.born, self._latest_starts.get(upstream.name, 0))
 
     def _has_announced_end(self, upstream: Registration) -> bool:
-        ended = self._announced_ends.get(upstream.name)
-        return ended is not None and ended == self._find_latest_start(upstream)
+        latest = self._find_latest_start(upstream)
+        return self._announced_ends.get(upstream.name) == latest
 
     def _forget_later_starts(self, now: float) -> None:
         """Take the listed starts for the latest ones where they stay listed."""
