Place the orders of a test within the renewal that it slows down

Finding: test_renewal_under_way_does_not_restore_a_fenced_planner failed in 1 of 6 runs of four test files beside a load of 16, and in 2 of 18 runs by itself beside a load of 12: not all engines had an order within 1.25 s.

Cause: the test. It added engines when the renewal began, 0.7 to 1.0 s after the planner had won its lease, by a random draw. New engines get orders 1.0 to 1.25 s later, and no order is sent in the last second of the lease, which is 2.0 s after it was won: with draws near 1.0 (0.95 and 1.01 s in the two logs, 0.89 s in one that passed) none was sent in time.

Change: engines are added 0.25 s after the lease was won, so that orders fall between 1.0 s, when each renewal has begun, and 2.0 s; that they were sent while the renewal was under way is now checked. The test looks for orders with an old token for twice as long, as these come only when an order's time is over within a renewed lease.

--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -580,7 +580,7 @@
 async def test_renewal_under_way_does_not_restore_a_fenced_planner(monkeypatch):
     # It went on with its old token for one lease more.
     renew_lease = MetadataStore.renew_lease
-    renewing = trio.Event()
+    renewing, renewed_late = trio.Event(), trio.Event()
 
     async with open_site() as site:
 
@@ -590,19 +590,22 @@
             if item is not None and item[3] == lease.id:
                 renewing.set()
                 await trio.sleep(6 * PLAN_PERIOD)
+                renewed_late.set()
             return renewed
 
         monkeypatch.setattr(MetadataStore, "renew_lease", renew_slowly)
         await site.add_node(ready=False)
-        with trio.fail_after(8.0):
-            await renewing.wait()
+        await wait_for(lambda: "tarragonrudder/planner" in site.store.items, 8.0)
+        # New engines get orders after a second, which is then within the renewal.
+        await trio.sleep(PLAN_PERIOD)
         position = Position(site.store.revision + 100, site.store.era)
         fence = compute_fencing_token(position)
         names = [f"s-{number}" for number in range(16)]
         engines = [UpstreamStandIn(name, kind="small", fence=fence) for name in names]
         await site.add(*engines)
-        await wait_for(lambda: all(each.orders for each in engines), 5 * PLAN_PERIOD)
-        await trio.sleep(2 * LEASE_TTL)
+        await wait_for(lambda: all(each.orders for each in engines), 8 * PLAN_PERIOD)
+        assert renewing.is_set() and not renewed_late.is_set()
+        await trio.sleep(4 * LEASE_TTL)
         for engine in engines:
             fences = [order["fence"] for order in engine.orders]
             assert len(fences) == len(set(fences))
