--- a/review/harness/client.py
+++ b/review/harness/client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import random
 from dataclasses import dataclass, field
 
 import h11
@@ -9,7 +10,7 @@
 from review.harness.deployment import HOST, KEY, Deployment, Node, Record
 
 DEADLINE = 2.5  # seconds, of the site's sheet
-PERIOD = 0.25  # seconds between two requests of an ordinary client
+PERIOD = 0.25  # mean seconds between two requests of an ordinary client
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
 _numbers = itertools.count(1)
 
@@ -124,11 +125,12 @@
 ) -> None:
     """Look up and record in turn, on a kept connection."""
     client = Client(node, deployment.record)
+    await trio.sleep(PERIOD * random.random())
     while trio.current_time() < until:
         for method, target, body in (
             ("GET", "/status/1", b""),
             ("POST", "/roll/1", b"b" * 600),
         ):
             calls.append(await client.ask(method, target, body, DEADLINE))
-            await trio.sleep(PERIOD)
+            await trio.sleep(PERIOD * random.uniform(0.5, 1.5))
     await client.close()
