--- a/review/harness/platform.py
+++ b/review/harness/platform.py
@@ -10,6 +10,8 @@
 
 RESTART_DELAY = 0.5  # seconds
 LOOK_PERIOD = 0.005  # seconds between looks at the memory
+MOST_ENDS = 2  # of a machine's process, in the rule on faults
+MOST_MACHINES = 1  # on which processes may end more often
 
 
 async def watch_memory(node: Node, deployment: Deployment, ends: list[str]) -> None:
@@ -47,3 +49,20 @@
         and not call.whole
         and call.ended - call.begun < DEADLINE - 0.1
     ]
+
+
+def judge_ends(deployment: Deployment, ends: t.Sequence[str]) -> str:
+    """Return the rule that processes which ended by themselves broke, if any.
+
+    Parameters
+    ----------
+    ends : sequence of str
+        The node of each end.
+    """
+    counts = {node.name: ends.count(node.name) for node in deployment.nodes}
+    deployment.record.say(f"processes that ended by themselves: {counts}")
+    if sum(count > MOST_ENDS for count in counts.values()) > MOST_MACHINES:
+        deployment.record.say("Fault: they ended three times on two machines or more")
+        return "Fault"
+    deployment.record.say("no fault")
+    return ""
